--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -12,7 +12,8 @@
 
 int64_t clock_mono_us(void)
 {
-	return clock_read(CLOCK_MONOTONIC);
+	/* Counts the time of a suspended host, so that its leases end too. */
+	return clock_read(CLOCK_BOOTTIME);
 }
 
 int64_t clock_wall_us(void)
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -33,6 +33,8 @@
 
 #define CONF_CONTROL_MAX 7
 #define CONF_PEERS_MAX 128
+#define CONF_SEEDS_MAX 16
+#define CONF_TOLERATE_MAX 3 /* losses; 7 voters */
 #define CONF_KEY_BYTES 32
 
 struct conf {
@@ -46,9 +48,11 @@
 #undef FLAG_INT
 #undef FLAG_FLAG
 
-	struct conf_addr listen_addr, peer_addr, admin_addr;
+	struct conf_addr listen_addr, ready_addr, peer_addr, admin_addr;
 	struct conf_control controls[CONF_CONTROL_MAX];
 	size_t control_nr;
+	struct conf_addr seed_list[CONF_SEEDS_MAX]; /* --seeds */
+	size_t seed_nr;
 	struct conf_peer peer_list[CONF_PEERS_MAX];
 	size_t peer_nr;
 	uint8_t cluster_key[CONF_KEY_BYTES];
--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -10,8 +10,13 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_admin.h"
+#include "control/ctl_document.h"
+#include "control/ctl_feed.h"
+#include "control/ctl_roster.h"
 #include "control/ctl_status.h"
+#include "iface/iface.h"
 #include "obs/counter.h"
+#include "obs/slog.h"
 
 #define TICK_INTERVAL_S 0.02
 #define EVENTS_KEPT 20000
@@ -122,6 +127,10 @@
 	c->leading = true;
 	c->leading_term = rep_term(c->rep);
 	c->leading_since_us = now;
+	struct slog l = slog_begin("leader");
+	slog_int(&l, "term", (int64_t)c->leading_term);
+	slog_int(&l, "log_index", (int64_t)rep_last_index(c->rep));
+	slog_end(&l);
 	c->leases = lease_new(now);
 	log_info("log", "leader in term %" G_GUINT64_FORMAT, c->leading_term);
 	ctl_event(c, EV_KIND_LEADER, NULL, NULL, "%s, term %" G_GUINT64_FORMAT,
@@ -133,6 +142,10 @@
 static void end_leading(struct ctl *c)
 {
 	log_info("log", "no longer leader");
+	struct slog l = slog_begin("leader_lost");
+	slog_int(&l, "term", (int64_t)c->leading_term);
+	slog_end(&l);
+	ctl_document_drop_all(c);
 	c->leading = false;
 	ctl_change_drop_all(c);
 	ctl_order_drop_all(c);
@@ -360,6 +373,16 @@
 	case MW__FRAME__BODY_ADMIN_CALL:
 		ctl_admin_frame(c, p, f);
 		break;
+	case MW__FRAME__BODY_ROSTER:
+		if (c->roster)
+			ctl_roster_take(c->roster, f->roster, now);
+		break;
+	case MW__FRAME__BODY_ENDPOINT_ROWS:
+		ctl_feed_take_rows(c->feed, p, f, now);
+		break;
+	case MW__FRAME__BODY_USE_REPORT:
+		ctl_feed_take_use(c->feed, p, f->use_report, now);
+		break;
 	default:
 		log_debug("peer", "unexpected frame %d from %s",
 			  (int)f->body_case, peer_hello(p)->host);
@@ -368,11 +391,30 @@
 
 static void on_up(struct peer *p, void *ctx)
 {
-	ctl_event(ctx, EV_KIND_PEER_UP, NULL, NULL, "%s", peer_hello(p)->host);
+	struct ctl *c = ctx;
+	struct slog l = slog_begin("peer_up");
+
+	slog_str(&l, "peer", peer_hello(p)->host);
+	slog_str(&l, "peer_role", peer_hello(p)->role);
+	slog_end(&l);
+	ctl_event(c, EV_KIND_PEER_UP, NULL, NULL, "%s", peer_hello(p)->host);
+	if (c->roster)
+		ctl_roster_peer_up(c->roster, p);
+	ctl_feed_peer_up(c->feed, p);
 }
 
 static void on_down(struct peer *p, int err, void *ctx)
 {
+	struct ctl *c = ctx;
+	struct slog l = slog_begin("peer_down");
+
+	slog_str(&l, "peer", peer_hello(p)->host);
+	slog_str(&l, "peer_role", peer_hello(p)->role);
+	slog_str(&l, "reason", err_info(err)->kind);
+	slog_end(&l);
+	if (c->roster)
+		ctl_roster_peer_down(c->roster, p, clock_mono_us());
+	ctl_feed_peer_down(c->feed, p);
 	log_info("peer", "lost %s: %s", peer_hello(p)->host,
 		 err_info(err)->kind);
 	ctl_event(ctx, EV_KIND_PEER_DOWN, NULL, NULL, "%s: %s",
@@ -398,6 +440,10 @@
 		ctl_order_tick(c, now);
 		expire_records(c, now);
 	}
+	if (c->roster)
+		ctl_roster_tick(c->roster, now);
+	ctl_document_tick(c, now);
+	ctl_feed_tick(c->feed, now);
 	ctl_status_tick(c, now);
 	ctl_hub_tell(c, now);
 	ctl_spill_tick(c, now);
@@ -415,6 +461,18 @@
 	(void)loop;
 	(void)revents;
 	ctl_log_pump(c);
+	ctl_document_confirm(c, clock_mono_us());
+}
+
+/* Settings files are read at start; seeds are found through the roster. */
+static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct slog l = slog_begin("reload");
+
+	(void)loop;
+	(void)w;
+	(void)revents;
+	slog_end(&l);
 }
 
 static void on_signal(struct ev_loop *loop, ev_signal *w, int revents)
@@ -422,6 +480,10 @@
 	struct ctl *c = w->data;
 
 	(void)revents;
+	struct slog l = slog_begin("stop");
+
+	slog_str(&l, "reason", "signal");
+	slog_end(&l);
 	log_info("shutdown", "stopping");
 	ctl_event(c, EV_KIND_STOP, NULL, NULL, "signal");
 	ev_break(loop, EVBREAK_ALL);
@@ -472,6 +534,8 @@
 	ev_signal_init(&c->sigint, on_signal, SIGINT);
 	c->sigint.data = c;
 	ev_signal_start(c->loop, &c->sigint);
+	ev_signal_init(&c->sighup, on_hangup, SIGHUP);
+	ev_signal_start(c->loop, &c->sighup);
 }
 
 static int open_events(struct ctl *c)
@@ -483,7 +547,19 @@
 	return r;
 }
 
-int ctl_new(struct conf *conf, struct ev_loop *loop, struct ctl **out)
+/* What callers of the interface need: documents and announcements. */
+static int start_outside(struct ctl *c)
+{
+	const struct conf_addr *a = &c->conf->listen_addr;
+	struct httpd_config cfg = {.max_body = c->iface->max_document,
+				   .conn_memory = c->iface->conn_memory};
+
+	return httpd_new(c->loop, a->ip, a->port, &cfg, c->iface->control, c,
+			 &c->outside);
+}
+
+int ctl_new(struct conf *conf, struct ev_loop *loop, const struct iface *iface,
+	    struct ctl **out)
 {
 	struct ctl *c = g_new0(struct ctl, 1);
 	int r;
@@ -491,10 +567,14 @@
 	*out = c;
 	c->conf = conf;
 	c->loop = loop;
+	c->iface = iface;
 	c->incarnation = (uint64_t)clock_wall_us();
+	slog_setup(conf->host, conf->dc, "control", c->incarnation);
 	c->status = ctl_status_new(clock_mono_us());
 	list_init(&c->changes);
 	list_init(&c->orders);
+	list_init(&c->documents);
+	list_init(&c->reads);
 	ctl_log_drop_waiting(c);
 	c->boot_seen = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
@@ -506,12 +586,22 @@
 	if ((r = open_events(c)) < 0 || (r = ctl_log_open(c)) < 0)
 		return r;
 	ctl_hub_start(c);
+	c->feed = ctl_feed_new(c);
 	if ((r = start_peers(c)) < 0)
 		return r;
+	if (conf->seed_nr)
+		c->roster = ctl_roster_new(c);
 	start_watchers(c);
 	r = ctl_admin_start(c);
+	if (r == 0 && iface)
+		r = start_outside(c);
 	if (r < 0)
 		return r;
+	struct slog l = slog_begin("start");
+	slog_int(&l, "voter", (int64_t)(uint32_t)conf->voter);
+	slog_int(&l, "joined", rep_joined(c->rep));
+	slog_int(&l, "open_cluster", conf->open_cluster);
+	slog_end(&l);
 	ctl_event(c, EV_KIND_START, NULL, NULL, "control process, voter %d",
 		  conf->voter);
 	log_info("control", "voter %d on %s in %s", conf->voter, conf->host,
@@ -527,12 +617,16 @@
 
 void ctl_free(struct ctl *c)
 {
+	if (c->outside)
+		httpd_free(c->outside);
 	if (c->admin)
 		httpd_free(c->admin);
 	if (c->leading)
 		end_leading(c);
+	ctl_roster_free(c->roster);
 	if (c->peers)
 		peer_net_free(c->peers);
+	ctl_feed_free(c->feed);
 	if (c->hub)
 		hub_free(c->hub);
 	if (c->hub)
@@ -540,6 +634,7 @@
 	ev_prepare_stop(c->loop, &c->pump);
 	ev_signal_stop(c->loop, &c->sigterm);
 	ev_signal_stop(c->loop, &c->sigint);
+	ev_signal_stop(c->loop, &c->sighup);
 	for (size_t i = 0; i < CTL_VERSIONS_KEPT; i++)
 		tree_unref(c->versions[i]);
 	ctl_log_close(c);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -34,11 +34,17 @@
  *   ctl_hub.c     the hub: reports, announcements, leaves
  *   ctl_order.c   orders to endpoints
  *   ctl_spill.c   asks of hubs of other data centres, and answers
+ *   ctl_roster.c  control processes found through seeds, voters
+ *   ctl_document.c  documents that are published as a whole
+ *   ctl_feed.c    what entry hosts follow: tree, endpoints, work of others
  *   ctl_admin.c   HTTP paths of operators
  *   ctl_status.c  what is cut off and since when, for status answers
  */
 
 struct ctl_status;
+struct ctl_roster;
+struct ctl_feed;
+struct iface;
 
 /* Result of a proposal: 0 and the outcome, or a negative error number. */
 typedef void (*ctl_result_fn)(int err, const Mw__Result *r, void *ctx);
@@ -75,7 +81,7 @@
 	ev_timer tick;
 	ev_prepare pump;
 	int failed; /* error that ends the process */
-	ev_signal sigterm, sigint;
+	ev_signal sigterm, sigint, sighup;
 
 	bool boot_wanted;      /* the disk is empty and --bootstrap was given */
 	GHashTable *boot_seen; /* incarnations with empty disks */
@@ -99,6 +105,13 @@
 	struct pace store;
 
 	struct ctl_status *status;
+	struct ctl_roster *roster; /* with --seeds */
+	struct ctl_feed *feed;
+	struct list documents; /* ctl_document.c: what waits for its turn */
+	struct list reads;     /* ctl_document.c: reads to be confirmed */
+	bool publishing;
+	const struct iface *iface; /* NULL: the product's own interfaces */
+	struct httpd *outside;	   /* its HTTP server */
 	struct hub *hub;
 	uint64_t hub_members;  /* member version that the hub was told */
 	uint64_t seen_members; /* newest one that a host reported */
@@ -106,7 +119,9 @@
 	int64_t spill_us; /* when spill was last looked at */
 };
 
-int ctl_new(struct conf *conf, struct ev_loop *loop, struct ctl **out);
+/* iface may be NULL. */
+int ctl_new(struct conf *conf, struct ev_loop *loop, const struct iface *iface,
+	    struct ctl **out);
 int ctl_run(struct ctl *c);
 void ctl_free(struct ctl *c);
 
@@ -140,6 +155,8 @@
 
 /* ---- ctl_boot.c ---- */
 void ctl_boot_tick(struct ctl *c, int64_t now);
+/* Whether this process listens at one of the seed addresses. */
+bool ctl_boot_is_seed(const struct ctl *c);
 void ctl_boot_serve(struct ctl *c, struct peer *from, const Mw__Frame *f);
 
 /* ---- ctl_lease.c ---- */
--- a/src/control/ctl_admin.c
+++ b/src/control/ctl_admin.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_document.h"
 #include "control/ctl_status.h"
 #include "obs/counter.h"
 
@@ -488,6 +489,54 @@
 	ctl_order_submit(c, &o, on_order, op_new(c, fn, arg, o.order_id));
 }
 
+/* ---- documents ---- */
+
+static void on_published(int err, const char *body, size_t len, void *ctx)
+{
+	struct op *op = ctx;
+
+	(void)body;
+	(void)len;
+	if (err < 0)
+		answer_error(op->fn, op->arg, err, NULL, NULL);
+	else
+		answer_json(op->fn, op->arg, json_pack("{s:b}", "accepted", 1));
+	op_free(op);
+}
+
+/* The query holds the name and the revision, "NAME REVISION". */
+static void post_document(struct ctl *c, const Mw__AdminCall *call,
+			  admin_reply_fn fn, void *arg)
+{
+	g_auto(GStrv) part = g_strsplit(call->query, " ", 2);
+
+	if (g_strv_length(part) != 2) {
+		answer_error(fn, arg, -MW_EINVAL, NULL, NULL);
+		return;
+	}
+	ctl_document_publish(c, part[0], g_ascii_strtoull(part[1], NULL, 10),
+			     (const char *)call->body.data, call->body.len,
+			     on_published, op_new(c, fn, arg, part[0]));
+}
+
+static void on_read(int err, const char *body, size_t len, void *ctx)
+{
+	struct op *op = ctx;
+
+	if (err < 0)
+		answer_error(op->fn, op->arg, err, NULL, NULL);
+	else
+		op->fn(op->arg, 200, body, len);
+	op_free(op);
+}
+
+static void get_document(struct ctl *c, const Mw__AdminCall *call,
+			 admin_reply_fn fn, void *arg)
+{
+	ctl_document_read(c, call->query, on_read,
+			  op_new(c, fn, arg, call->query));
+}
+
 /* ---- dispatch ---- */
 
 static const struct {
@@ -503,6 +552,8 @@
 	{"voter/add", true, post_voter_add},
 	{"voter/remove", true, post_voter_remove},
 	{"order", true, post_order},
+	{"document/publish", true, post_document},
+	{"document/read", true, get_document},
 };
 
 struct passed {
@@ -582,6 +633,12 @@
 	g_free(r);
 }
 
+void ctl_admin_call(struct ctl *c, const Mw__AdminCall *call, admin_reply_fn fn,
+		    void *arg)
+{
+	handle_call(c, call, fn, arg);
+}
+
 void ctl_admin_frame(struct ctl *c, struct peer *from, const Mw__Frame *f)
 {
 	struct remote *r = g_new(struct remote, 1);
--- a/src/control/ctl_change.c
+++ b/src/control/ctl_change.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_feed.h"
 
 /*
  * Configuration changes on the leader: one at a time, prepared on the hosts
@@ -224,6 +225,22 @@
 	}
 }
 
+/*
+ * Whether any host is registered.  Hosts that only follow the tree hold no
+ * lease that an earlier leader may have given, so a new leader need not wait.
+ */
+static bool fenced_hosts(struct ctl *c)
+{
+	const struct members *m = sm_members(c->sm);
+
+	for (size_t i = 0; i < member_count(m); i++) {
+		const Mw__HostInfo *info = member_at(m, i)->info;
+		if (member_weight2(m, info->dc, info->host))
+			return true;
+	}
+	return false;
+}
+
 void ctl_change_tick(struct ctl *c, int64_t now)
 {
 	decide(c, now);
@@ -233,7 +250,7 @@
 		for_hosts(c, prepare_host_again);
 	}
 	while (!c->change && !list_empty(&c->changes) &&
-	       now >= lease_quiet_us(c->leases)) {
+	       (!fenced_hosts(c) || now >= lease_quiet_us(c->leases))) {
 		start_next(c, now);
 		decide(c, now);
 	}
@@ -287,6 +304,7 @@
 	ctl_keep_version(c);
 	if (r->err < 0)
 		return;
+	ctl_feed_tree_changed(c->feed);
 	ctl_event(c, EV_KIND_CHANGE_ACCEPTED, msg->id, NULL,
 		  "version %" G_GUINT64_FORMAT, r->version);
 	if (!c->leading)
--- /dev/null
+++ b/src/control/ctl_document.c
@@ -0,0 +1,206 @@
+#include "control/ctl_document.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <jansson.h>
+
+#include "base/cleanup.h"
+#include "base/clock.h"
+#include "base/err.h"
+#include "obs/slog.h"
+
+/* Publications that wait; operators have a few in flight. */
+#define WAITING_MAX 64
+
+/* A read is given up after this; a majority answers within a round trip. */
+#define READ_TIMEOUT_US (800 * USEC_PER_MSEC)
+
+struct publication {
+	struct list node;
+	struct ctl *ctl;
+	char name[64];
+	uint64_t revision;
+	char *body;
+	ctl_document_fn fn;
+	void *ctx;
+};
+
+struct read {
+	struct list node;
+	char name[64];
+	int64_t asked_us;
+	ctl_document_fn fn;
+	void *ctx;
+};
+
+static void document_path(const char *name, char *out, size_t size)
+{
+	snprintf(out, size, "documents/%s", name);
+}
+
+static json_t *setting(struct ctl *c, const char *name, const char *key)
+{
+	char path[96];
+
+	document_path(name, path, sizeof(path));
+	return tree_resolve(sm_tree(c->sm), path, key, NULL);
+}
+
+static uint64_t held_revision(struct ctl *c, const char *name)
+{
+	AUTO_JSON json_t *v = setting(c, name, "revision");
+
+	return v ? (uint64_t)json_integer_value(v) : 0;
+}
+
+static void publication_end(struct ctl *c, struct publication *p, int err,
+			    const char *outcome)
+{
+	struct slog l = slog_begin("document");
+
+	slog_str(&l, "name", p->name);
+	slog_int(&l, "revision", (int64_t)p->revision);
+	slog_int(&l, "tree_version", (int64_t)tree_version(sm_tree(c->sm)));
+	slog_str(&l, "outcome", err < 0 ? err_info(err)->kind : outcome);
+	slog_end(&l);
+	p->fn(err, NULL, 0, p->ctx);
+	g_free(p->body);
+	g_free(p);
+}
+
+static void on_changed(int err, const Mw__Result *r, void *ctx)
+{
+	struct publication *p = ctx;
+	struct ctl *c = p->ctl;
+
+	c->publishing = false;
+	publication_end(c, p, err < 0 ? err : r->err, "committed");
+	ctl_document_tick(c, clock_mono_us());
+}
+
+/* The edits that set both keys of the node. */
+static void submit(struct ctl *c, struct publication *p)
+{
+	char path[96], revision[32], id[128];
+	AUTO_JSON json_t *text = json_string(p->body);
+	AUTO_FREE char *value = json_dumps(text, JSON_ENCODE_ANY);
+	Mw__Change change = MW__CHANGE__INIT;
+	Mw__Edit edits[2], *list[2] = {&edits[0], &edits[1]};
+
+	document_path(p->name, path, sizeof(path));
+	snprintf(revision, sizeof(revision), "%" G_GUINT64_FORMAT, p->revision);
+	/* A revision may be tried again by a later leader: never the same id.
+	 */
+	snprintf(id, sizeof(id),
+		 "%s-%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, p->name,
+		 revision, rep_term(c->rep), rep_last_index(c->rep));
+	for (size_t i = 0; i < 2; i++) {
+		mw__edit__init(&edits[i]);
+		edits[i].path = path;
+	}
+	edits[0].key = "revision";
+	edits[0].value = revision;
+	edits[1].key = "body";
+	edits[1].value = value;
+	change.id = id;
+	change.base_version = tree_version(sm_tree(c->sm));
+	change.edits = list;
+	change.n_edits = 2;
+	change.operator_name = "publisher";
+	c->publishing = true;
+	ctl_change_submit(c, &change, on_changed, p);
+}
+
+void ctl_document_tick(struct ctl *c, int64_t now)
+{
+	if (!ctl_is_leader(c, now))
+		return;
+	while (!c->publishing && !list_empty(&c->documents)) {
+		struct publication *p =
+			list_first(&c->documents, struct publication, node);
+		list_del(&p->node);
+		if (p->revision <= held_revision(c, p->name))
+			publication_end(c, p, 0, "not_higher");
+		else
+			submit(c, p);
+	}
+	ctl_document_confirm(c, now);
+}
+
+void ctl_document_publish(struct ctl *c, const char *name, uint64_t revision,
+			  const char *body, size_t len, ctl_document_fn fn,
+			  void *ctx)
+{
+	struct publication *p, *other;
+	size_t waiting = 0;
+
+	list_for_each_entry (other, &c->documents, node)
+		waiting++;
+	if (waiting >= WAITING_MAX) {
+		fn(-MW_EQUEUEFULL, NULL, 0, ctx);
+		return;
+	}
+	p = g_new0(struct publication, 1);
+	p->ctl = c;
+	g_strlcpy(p->name, name, sizeof(p->name));
+	p->revision = revision;
+	p->body = g_strndup(body, len);
+	p->fn = fn;
+	p->ctx = ctx;
+	list_add_tail(&c->documents, &p->node);
+	ctl_document_tick(c, clock_mono_us());
+}
+
+void ctl_document_read(struct ctl *c, const char *name, ctl_document_fn fn,
+		       void *ctx)
+{
+	struct read *r = g_new0(struct read, 1);
+
+	g_strlcpy(r->name, name, sizeof(r->name));
+	r->asked_us = clock_mono_us();
+	r->fn = fn;
+	r->ctx = ctx;
+	list_add_tail(&c->reads, &r->node);
+	rep_probe(c->rep, r->asked_us);
+}
+
+static void read_end(struct ctl *c, struct read *r, int err)
+{
+	AUTO_JSON json_t *body = err < 0 ? NULL : setting(c, r->name, "body");
+	const char *text = json_string_value(body);
+
+	list_del(&r->node);
+	if (err == 0 && (!text || !*text))
+		err = -MW_ENOTFOUND;
+	r->fn(err, err < 0 ? NULL : text, err < 0 ? 0 : strlen(text), r->ctx);
+	g_free(r);
+}
+
+void ctl_document_confirm(struct ctl *c, int64_t now)
+{
+	struct read *r, *tmp;
+
+	if (list_empty(&c->reads))
+		return;
+	int64_t confirmed = c->leading ? rep_confirmed_us(c->rep) : 0;
+	list_for_each_entry_safe (r, tmp, &c->reads, node) {
+		if (confirmed >= r->asked_us &&
+		    c->applied >= rep_commit_index(c->rep))
+			read_end(c, r, 0);
+		else if (now - r->asked_us > READ_TIMEOUT_US)
+			read_end(c, r, -MW_ENOLEADER);
+	}
+}
+
+void ctl_document_drop_all(struct ctl *c)
+{
+	struct publication *p, *ptmp;
+	struct read *r, *rtmp;
+
+	list_for_each_entry_safe (p, ptmp, &c->documents, node) {
+		list_del(&p->node);
+		publication_end(c, p, -MW_ENOLEADER, "");
+	}
+	list_for_each_entry_safe (r, rtmp, &c->reads, node)
+		read_end(c, r, -MW_ENOLEADER);
+}
--- /dev/null
+++ b/src/control/ctl_feed.c
@@ -0,0 +1,293 @@
+#include "control/ctl_feed.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "control/use.h"
+#include "obs/slog.h"
+
+/* Answers to a leave are waited for so long; endpoints wait a second. */
+#define SPREAD_TIMEOUT_MS 600
+
+/* Sums of work go out this often; a server's own report is older (500 ms). */
+#define TOTALS_INTERVAL_US (100 * USEC_PER_MSEC)
+
+/*
+ * Until then a process may not have heard of an endpoint that others know;
+ * two intervals of announcements, 1.2 s each.
+ */
+#define LEARNING_US (2400 * USEC_PER_MSEC)
+
+#define EXPIRE_INTERVAL_US (1 * USEC_PER_SEC)
+
+struct ctl_feed {
+	struct ctl *ctl;
+	struct registry *registry;
+	struct use *use;
+	int64_t started_us;
+	int64_t totals_us;
+	int64_t expired_us;
+};
+
+struct ctl_feed *ctl_feed_new(struct ctl *c)
+{
+	struct ctl_feed *f = g_new0(struct ctl_feed, 1);
+
+	f->ctl = c;
+	f->started_us = clock_mono_us();
+	f->registry = registry_new();
+	f->use = use_new();
+	return f;
+}
+
+void ctl_feed_free(struct ctl_feed *f)
+{
+	if (!f)
+		return;
+	registry_free(f->registry);
+	use_free(f->use);
+	g_free(f);
+}
+
+static bool is_entry(const struct peer *p)
+{
+	return !strcmp(peer_hello(p)->role, "entry");
+}
+
+static struct peer *next_peer(struct ctl_feed *f, struct peer *p)
+{
+	return peer_next(f->ctl->peers, p);
+}
+
+/* ---- tree ---- */
+
+static void tell_version(struct ctl_feed *f, struct peer *p)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__TreeNews news = MW__TREE_NEWS__INIT;
+
+	news.version = tree_version(sm_tree(f->ctl->sm));
+	frame.body_case = MW__FRAME__BODY_TREE_NEWS;
+	frame.tree_news = &news;
+	peer_send(p, &frame);
+}
+
+void ctl_feed_tree_changed(struct ctl_feed *f)
+{
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (is_entry(p))
+			tell_version(f, p);
+}
+
+/* ---- endpoints ---- */
+
+static void add_row(const struct registry_row *row, void *arg)
+{
+	g_ptr_array_add(arg, row->info);
+}
+
+static void send_rows(struct peer *p, Mw__EndpointInfo **rows, size_t n)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__EndpointRows msg = MW__ENDPOINT_ROWS__INIT;
+
+	if (!n)
+		return;
+	msg.rows = rows;
+	msg.n_rows = n;
+	frame.body_case = MW__FRAME__BODY_ENDPOINT_ROWS;
+	frame.endpoint_rows = &msg;
+	peer_send(p, &frame);
+}
+
+void ctl_feed_peer_up(struct ctl_feed *f, struct peer *p)
+{
+	g_autoptr(GPtrArray) rows = g_ptr_array_new();
+
+	if (is_entry(p))
+		tell_version(f, p);
+	registry_each(f->registry, add_row, rows);
+	send_rows(p, (Mw__EndpointInfo **)rows->pdata, rows->len);
+}
+
+void ctl_feed_peer_down(struct ctl_feed *f, struct peer *p)
+{
+	if (is_entry(p))
+		use_drop(f->use, peer_hello(p)->host);
+}
+
+static void log_row(const Mw__EndpointInfo *info, const char *from)
+{
+	struct slog l = slog_begin("endpoint");
+
+	slog_str(&l, "endpoint", info->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)info->incarnation);
+	slog_int(&l, "seq", (int64_t)info->seq);
+	slog_str(&l, "addr", info->addr);
+	slog_str(&l, "state", info->state);
+	slog_str(&l, "from", from);
+	slog_end(&l);
+}
+
+/*
+ * Passes rows on: changes to entry hosts, and all that an endpoint said here
+ * to the other control processes.
+ */
+static void pass_on(struct ctl_feed *f, Mw__EndpointInfo *info, bool changed,
+		    bool first_hand)
+{
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (is_entry(p) ? changed : first_hand)
+			send_rows(p, &info, 1);
+}
+
+/* The answer that an endpoint waits for. */
+struct spread {
+	ctl_feed_fn fn; /* NULL once answered */
+	void *ctx;
+	size_t open;
+};
+
+static void on_spread(int err, const Mw__Frame *reply, void *ctx)
+{
+	struct spread *s = ctx;
+
+	(void)reply;
+	s->open--;
+	if (s->fn && (err == 0 || !s->open)) {
+		s->fn(err == 0 ? 0 : -MW_EAGAIN, s->ctx);
+		s->fn = NULL;
+	}
+	if (!s->open)
+		g_free(s);
+}
+
+/* Tells all processes, and answers when the first one has confirmed. */
+static void spread(struct ctl_feed *f, Mw__EndpointInfo *info, ctl_feed_fn fn,
+		   void *ctx)
+{
+	struct spread *s = g_new0(struct spread, 1);
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__EndpointRows msg = MW__ENDPOINT_ROWS__INIT;
+
+	s->fn = fn;
+	s->ctx = ctx;
+	msg.rows = &info;
+	msg.n_rows = 1;
+	frame.body_case = MW__FRAME__BODY_ENDPOINT_ROWS;
+	frame.endpoint_rows = &msg;
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (peer_call(p, &frame, SPREAD_TIMEOUT_MS, on_spread, s) == 0)
+			s->open++;
+	if (s->open)
+		return;
+	g_free(s);
+	fn(-MW_EAGAIN, ctx);
+}
+
+void ctl_feed_announce(struct ctl_feed *f, const Mw__EndpointInfo *info,
+		       ctl_feed_fn fn, void *ctx)
+{
+	enum registry_change change =
+		registry_take(f->registry, info, clock_mono_us());
+	const struct registry_row *row = registry_find(f->registry, info->id);
+
+	if (change == REGISTRY_OLD || !row) {
+		fn(0, ctx);
+		return;
+	}
+	if (change == REGISTRY_CHANGED)
+		log_row(info, "endpoint");
+	if (!strcmp(info->state, REGISTRY_LEAVING)) {
+		spread(f, row->info, fn, ctx);
+		return;
+	}
+	pass_on(f, row->info, change == REGISTRY_CHANGED, true);
+	fn(0, ctx);
+}
+
+void ctl_feed_leave(struct ctl_feed *f, const char *id, ctl_feed_fn fn,
+		    void *ctx)
+{
+	const struct registry_row *row =
+		registry_leave(f->registry, id, clock_mono_us());
+
+	if (!row) {
+		bool learning = clock_mono_us() - f->started_us < LEARNING_US;
+		fn(learning ? -MW_EAGAIN : 0, ctx);
+		return;
+	}
+	log_row(row->info, "endpoint");
+	spread(f, row->info, fn, ctx);
+}
+
+void ctl_feed_take_rows(struct ctl_feed *f, struct peer *from,
+			const Mw__Frame *frame, int64_t now)
+{
+	const Mw__EndpointRows *msg = frame->endpoint_rows;
+
+	for (size_t i = 0; i < msg->n_rows; i++) {
+		enum registry_change change =
+			registry_take(f->registry, msg->rows[i], now);
+		const struct registry_row *row =
+			registry_find(f->registry, msg->rows[i]->id);
+		if (change != REGISTRY_CHANGED || !row)
+			continue;
+		log_row(row->info, peer_hello(from)->host);
+		pass_on(f, row->info, true, false);
+	}
+	if (frame->rpc) {
+		Mw__Frame reply = MW__FRAME__INIT;
+		Mw__Ack ack = MW__ACK__INIT;
+
+		reply.body_case = MW__FRAME__BODY_ACK;
+		reply.ack = &ack;
+		peer_reply(f->ctl->peers, peer_rpc(from, frame), &reply);
+	}
+}
+
+/* ---- work of entry hosts ---- */
+
+void ctl_feed_take_use(struct ctl_feed *f, struct peer *from,
+		       const Mw__UseReport *report, int64_t now)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+
+	use_take(f->use, report, is_entry(from), now);
+	if (!is_entry(from))
+		return;
+	frame.body_case = MW__FRAME__BODY_USE_REPORT;
+	frame.use_report = (Mw__UseReport *)report;
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (!is_entry(p))
+			peer_send(p, &frame);
+}
+
+static void send_totals(struct ctl_feed *f, int64_t now)
+{
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p)) {
+		Mw__Frame frame = MW__FRAME__INIT;
+
+		if (!is_entry(p) ||
+		    !use_reports_here(f->use, peer_hello(p)->host, now))
+			continue;
+		frame.body_case = MW__FRAME__BODY_USE_TOTALS;
+		frame.use_totals = use_totals(f->use, peer_hello(p)->host, now);
+		peer_send(p, &frame);
+		use_totals_free(frame.use_totals);
+	}
+}
+
+void ctl_feed_tick(struct ctl_feed *f, int64_t now)
+{
+	if (now - f->totals_us >= TOTALS_INTERVAL_US) {
+		f->totals_us = now;
+		send_totals(f, now);
+	}
+	if (now - f->expired_us >= EXPIRE_INTERVAL_US) {
+		f->expired_us = now;
+		registry_expire(f->registry, now);
+	}
+}
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_feed.h"
 #include "control/ctl_status.h"
 #include "obs/counter.h"
 #include "rep/rep_wire.h"
@@ -57,6 +58,30 @@
 	c->sm = sm;
 	c->applied = c->snap_index = snap->index;
 	ctl_keep_version(c);
+	if (c->feed)
+		ctl_feed_tree_changed(c->feed);
+}
+
+/*
+ * With --seeds a voter is named by its disk: the id is made with the folder
+ * and stored before any other process hears of it.
+ */
+static int take_identity(struct ctl *c, const struct rep_stored *stored)
+{
+	struct rep_vote vote = stored->vote;
+
+	if (!c->conf->seed_nr)
+		return 0;
+	if (!vote.id) {
+		vote.id = disk_new_voter_id();
+		int r = disk_save_vote(c->disk, &vote);
+		if (r < 0) {
+			log_error("disk", "%s", disk_error(c->disk));
+			return r;
+		}
+	}
+	c->conf->voter = (int)vote.id;
+	return 0;
 }
 
 int ctl_log_open(struct ctl *c)
@@ -74,6 +99,11 @@
 		log_error("disk", "%s", disk_error(c->disk));
 		return r;
 	}
+	r = take_identity(c, &stored);
+	if (r < 0) {
+		rep_stored_release(&stored);
+		return r;
+	}
 	c->sm = sm_new();
 	ctl_keep_version(c);
 	if (stored.snap.index)
@@ -92,7 +122,8 @@
 		log_error("log", "the data folder belongs to another voter");
 		return -MW_ECORRUPT;
 	}
-	c->boot_wanted = c->conf->bootstrap && fresh;
+	c->boot_wanted = c->conf->bootstrap && fresh &&
+			 (!c->conf->seed_nr || ctl_boot_is_seed(c));
 	return 0;
 }
 
--- /dev/null
+++ b/src/daemon/daemon.c
@@ -0,0 +1,90 @@
+#include "daemon/daemon.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <curl/curl.h>
+#include <ev.h>
+#include <sodium.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "conf/conf.h"
+#include "control/ctl.h"
+#include "entry/entry.h"
+#include "forward/fwd.h"
+
+static int run_entry(struct conf *conf, struct ev_loop *loop)
+{
+	struct entry *e;
+	int r = entry_new(conf, loop, &e);
+
+	if (r == 0)
+		ev_run(loop, 0);
+	entry_free(e);
+	return r;
+}
+
+static int run_forward(struct conf *conf, struct ev_loop *loop,
+		       const struct iface *iface)
+{
+	struct fwd *f;
+	int r = fwd_new(conf, loop, iface, &f);
+
+	if (r == 0)
+		ev_run(loop, 0);
+	fwd_free(f);
+	return r;
+}
+
+static int run_control(struct conf *conf, struct ev_loop *loop,
+		       const struct iface *iface)
+{
+	struct ctl *c;
+	int r = ctl_new(conf, loop, iface, &c);
+
+	if (r == 0)
+		r = ctl_run(c);
+	ctl_free(c);
+	return r;
+}
+
+static int run(struct conf *conf, const struct iface *iface)
+{
+	struct ev_loop *loop = ev_default_loop(0);
+
+	if (conf->open_cluster)
+		log_warn("main", "--open-cluster: other processes are accepted "
+				 "without a shared key");
+	if (conf->control_role)
+		return run_control(conf, loop, iface);
+	return iface ? run_forward(conf, loop, iface) : run_entry(conf, loop);
+}
+
+int daemon_main(int argc, char **argv, const struct iface *iface)
+{
+	struct conf conf;
+	char *error = NULL;
+
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+		fprintf(stderr, "mustardwalld: a library failed to start\n");
+		return EXIT_FAILURE;
+	}
+	int r = conf_parse(&conf, argc, argv, &error);
+	if (r < 0) {
+		fprintf(stderr, "mustardwalld: %s\n", error);
+		g_free(error);
+		conf_release(&conf);
+		return 2;
+	}
+	log_setup(conf.control_role ? "mustardwalld[control]"
+				    : "mustardwalld[entry]",
+		  (enum log_level)conf.log_level);
+	signal(SIGPIPE, SIG_IGN);
+	r = run(&conf, iface);
+	if (r < 0)
+		log_error("main", "ended: %s", err_info(r)->text);
+	conf_release(&conf);
+	curl_global_cleanup();
+	return r < 0 ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/forward/budget.h
@@ -0,0 +1,37 @@
+#ifndef FORWARD_BUDGET_H
+#define FORWARD_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Repeats that this host may send to one service.  In any window all hosts
+ * together may send a share of the requests, and some more.  Each host spends
+ * its own share of both, so the sum holds also while hosts are cut off from
+ * each other.  A decision without I/O.
+ */
+
+/* Repeats to requests, percent; the platform allows 20. */
+#define BUDGET_PERCENT 16
+
+/* Seconds over which the bound of the sum holds. */
+#define BUDGET_WINDOW_S 10
+
+struct budget {
+	double tokens;
+	double max;
+	uint64_t requests, repeats; /* since the start, for reports */
+};
+
+/* Of `spare` repeats that all hosts may send besides, this host has a part. */
+void budget_init(struct budget *b, double spare, unsigned int hosts);
+
+/* The number of hosts is known better. */
+void budget_hosts(struct budget *b, double spare, unsigned int hosts);
+
+void budget_request(struct budget *b);
+
+/* Takes a token for a repeat; false if none is left. */
+bool budget_repeat(struct budget *b);
+
+#endif
--- /dev/null
+++ b/src/forward/endpoints.c
@@ -0,0 +1,219 @@
+#include "forward/fwd.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "forward/request.h"
+#include "obs/slog.h"
+
+/* After a failure an endpoint is avoided, twice as long each time. */
+#define AVOID_MIN_US (250 * USEC_PER_MSEC)
+#define AVOID_MAX_US (4 * USEC_PER_SEC)
+
+/*
+ * Repeats that all hosts may send to a service beyond the share of requests,
+ * and the number of hosts assumed until it is known.
+ */
+#define SPARE_REPEATS 40
+#define HOSTS_ASSUMED 8
+
+/* Weight of a new measurement in the smoothed time of calls, percent. */
+#define SMOOTH_PERCENT 20
+
+static void target_free(void *p)
+{
+	struct target *t = p;
+
+	/* Requests hold the id only; theirs is looked up again. */
+	g_free(t);
+}
+
+void endpoints_start(struct fwd *f)
+{
+	f->registry = registry_new();
+	f->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   target_free);
+	f->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->hosts = HOSTS_ASSUMED;
+}
+
+void endpoints_stop(struct fwd *f)
+{
+	registry_free(f->registry);
+	g_hash_table_destroy(f->targets);
+	g_hash_table_destroy(f->budgets);
+}
+
+struct target *endpoints_target(struct fwd *f, const char *id)
+{
+	return g_hash_table_lookup(f->targets, id);
+}
+
+/* An incarnation starts with a clean record; its requests are not ours. */
+static void begin_incarnation(struct target *t, const Mw__EndpointInfo *info)
+{
+	t->incarnation = info->incarnation;
+	t->avoid_until_us = 0;
+	t->failures = 0;
+	t->slow_us = 0;
+	t->link_free_us = 0;
+	t->others_open = 0;
+	t->others_tokens = t->others_prefill = 0;
+	t->serving = false;
+}
+
+static const char *service_of(const Mw__EndpointInfo *info)
+{
+	return info->n_models ? info->models[0] : "";
+}
+
+void endpoints_take(struct fwd *f, const Mw__EndpointInfo *info, int64_t now)
+{
+	if (registry_take(f->registry, info, now) == REGISTRY_OLD)
+		return;
+	const struct registry_row *row = registry_find(f->registry, info->id);
+	struct target *t = endpoints_target(f, info->id);
+
+	if (!row)
+		return;
+	if (!t) {
+		t = g_new0(struct target, 1);
+		g_strlcpy(t->id, info->id, sizeof(t->id));
+		list_init(&t->requests);
+		g_hash_table_insert(f->targets, t->id, t);
+		begin_incarnation(t, info);
+	} else if (t->incarnation != info->incarnation) {
+		begin_incarnation(t, info);
+	}
+	g_strlcpy(t->addr, info->addr, sizeof(t->addr));
+	g_strlcpy(t->dc, info->dc, sizeof(t->dc));
+	g_strlcpy(t->service, service_of(info), sizeof(t->service));
+	t->slots = info->max_batch;
+	t->heard_us = now;
+	t->left = row->left;
+	bool serving = !row->left && !strcmp(info->state, REGISTRY_SERVING);
+	if (serving == t->serving)
+		return;
+	bool leaves = t->serving;
+	t->serving = serving;
+	struct slog l = slog_begin("endpoint");
+	slog_str(&l, "endpoint", t->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)t->incarnation);
+	slog_int(&l, "seq", (int64_t)info->seq);
+	slog_str(&l, "addr", t->addr);
+	slog_str(&l, "state", info->state);
+	slog_int(&l, "open_here", t->open);
+	slog_end(&l);
+	if (leaves)
+		move_target(f, t, now);
+	else
+		request_pump(f, now);
+}
+
+void endpoints_totals(struct fwd *f, const Mw__UseTotals *totals, int64_t now)
+{
+	GHashTableIter iter;
+	struct target *t;
+	bool freed = false;
+
+	f->hosts = MAX(totals->hosts, 1u);
+	g_hash_table_iter_init(&iter, f->targets);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
+		freed |= t->others_open > 0;
+		t->others_open = 0;
+		t->others_tokens = t->others_prefill = 0;
+	}
+	for (size_t i = 0; i < totals->n_rows; i++) {
+		const Mw__UseRow *row = totals->rows[i];
+		t = endpoints_target(f, row->endpoint);
+		if (!t)
+			continue;
+		t->others_open = row->streams;
+		t->others_tokens = row->tokens;
+		t->others_prefill = row->prefill;
+	}
+	if (freed)
+		request_pump(f, now);
+}
+
+Mw__UseReport *endpoints_use(struct fwd *f)
+{
+	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
+	GHashTableIter iter;
+	struct target *t;
+
+	mw__use_report__init(r);
+	r->host = f->conf->host;
+	r->incarnation = f->incarnation;
+	r->seq = ++f->use_seq;
+	r->rows = g_new0(Mw__UseRow *, g_hash_table_size(f->targets) + 1);
+	g_hash_table_iter_init(&iter, f->targets);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
+		if (!t->open)
+			continue;
+		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
+		mw__use_row__init(row);
+		row->endpoint = t->id;
+		row->streams = t->open;
+		row->tokens = t->tokens;
+		row->prefill = t->prefill;
+		r->rows[r->n_rows++] = row;
+	}
+	return r;
+}
+
+void endpoints_use_free(Mw__UseReport *r)
+{
+	for (size_t i = 0; i < r->n_rows; i++)
+		g_free(r->rows[i]);
+	g_free(r->rows);
+	g_free(r);
+}
+
+void endpoints_failed(struct fwd *f, struct target *t, int64_t now)
+{
+	int64_t wait = AVOID_MIN_US << MIN(t->failures, 4u);
+
+	(void)f;
+	t->failures++;
+	t->avoid_until_us = now + MIN(wait, AVOID_MAX_US);
+	struct slog l = slog_begin("endpoint_avoided");
+	slog_str(&l, "endpoint", t->id);
+	slog_int(&l, "failures", t->failures);
+	slog_int(&l, "wait_us", t->avoid_until_us - now);
+	slog_end(&l);
+}
+
+void endpoints_worked(struct fwd *f, struct target *t, int64_t now)
+{
+	(void)f;
+	(void)now;
+	t->failures = 0;
+}
+
+struct budget *endpoints_budget(struct fwd *f, const char *service)
+{
+	struct service_budget *b = g_hash_table_lookup(f->budgets, service);
+
+	if (!b) {
+		b = g_new0(struct service_budget, 1);
+		budget_init(&b->budget, SPARE_REPEATS, f->hosts);
+		g_hash_table_insert(f->budgets, g_strdup(service), b);
+	}
+	budget_hosts(&b->budget, SPARE_REPEATS, MAX(f->hosts, 2u));
+	return &b->budget;
+}
+
+/* Drops endpoints that have left and hold no request of this host. */
+void endpoints_tick(struct fwd *f, int64_t now)
+{
+	GHashTableIter iter;
+	struct target *t;
+
+	registry_expire(f->registry, now);
+	g_hash_table_iter_init(&iter, f->targets);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&t))
+		if (!t->open && !registry_find(f->registry, t->id))
+			g_hash_table_iter_remove(&iter);
+}
--- /dev/null
+++ b/src/forward/follow.c
@@ -0,0 +1,265 @@
+#include "forward/fwd.h"
+
+#include <string.h>
+#include <jansson.h>
+
+#include "base/cleanup.h"
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "obs/slog.h"
+#include "state/tree.h"
+
+/* A tree is asked for again after this without an answer. */
+#define TREE_TIMEOUT_MS 1500
+
+/*
+ * Reports of work: when something changed, and at least this often, so that
+ * control processes do not forget the host (USE_VALID_US).
+ */
+#define USE_MIN_US (100 * USEC_PER_MSEC)
+#define USE_MAX_US (700 * USEC_PER_MSEC)
+
+/* Name of the document that holds the plan. */
+#define PLAN_DOCUMENT "documents/plan"
+
+static bool is_control(const struct peer *p)
+{
+	return !strcmp(peer_hello(p)->role, "control");
+}
+
+static void dial(struct fwd *f, const char *addr)
+{
+	if (g_hash_table_contains(f->known, addr))
+		return;
+	int err = peer_dial(f->peers, addr);
+	if (err < 0) {
+		log_warn("follow", "%s cannot be dialled: %s", addr,
+			 err_info(err)->kind);
+		return;
+	}
+	g_hash_table_add(f->known, g_strdup(addr));
+}
+
+/* ---- tree ---- */
+
+static void take_plan(struct fwd *f, struct tree *t, int64_t now)
+{
+	AUTO_JSON json_t *body = tree_resolve(t, PLAN_DOCUMENT, "body", NULL);
+	const char *text = json_string_value(body);
+	struct plan *plan;
+
+	if (!text || !*text)
+		return;
+	int err = f->iface->plan(text, strlen(text), &plan);
+	struct slog l = slog_begin(err < 0 ? "plan_refused" : "plan");
+	slog_int(&l, "tree_version", (int64_t)tree_version(t));
+	if (err < 0) {
+		slog_str(&l, "error", err_info(err)->kind);
+		slog_end(&l);
+		return;
+	}
+	slog_int(&l, "revision", (int64_t)plan->revision);
+	slog_int(&l, "before", f->plan ? (int64_t)f->plan->revision : 0);
+	slog_int(&l, "routes", plan->routes->len);
+	slog_end(&l);
+	if (f->plan && plan->revision <= f->plan->revision) {
+		plan_unref(plan);
+		return;
+	}
+	plan_unref(f->plan);
+	f->plan = plan;
+	request_pump(f, now);
+}
+
+static void ask_tree(struct fwd *f, struct peer *p);
+
+static void take_tree(struct fwd *f, const Mw__TreeSnapshot *snap)
+{
+	struct tree_err err;
+	struct tree *t;
+
+	if (snap->version <= f->tree_version || !snap->tree.len)
+		return;
+	int r = tree_parse((const char *)snap->tree.data, snap->tree.len, &t,
+			   &err);
+	if (r < 0) {
+		log_error("follow",
+			  "version %" G_GUINT64_FORMAT " cannot be read: %s %s",
+			  snap->version, err.path, err.reason);
+		return;
+	}
+	f->tree_version = snap->version;
+	take_plan(f, t, clock_mono_us());
+	tree_unref(t);
+}
+
+static void on_tree(int err, const Mw__Frame *reply, void *ctx)
+{
+	struct fwd *f = ctx;
+
+	f->tree_asked = false;
+	if (err == 0 && reply->body_case == MW__FRAME__BODY_TREE_SNAPSHOT)
+		take_tree(f, reply->tree_snapshot);
+}
+
+static void ask_tree(struct fwd *f, struct peer *p)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__TreeGet get = MW__TREE_GET__INIT;
+
+	get.have = f->tree_version;
+	frame.body_case = MW__FRAME__BODY_TREE_GET;
+	frame.tree_get = &get;
+	if (peer_call(p, &frame, TREE_TIMEOUT_MS, on_tree, f) == 0)
+		f->tree_asked = true;
+}
+
+static void take_news(struct fwd *f, struct peer *p, const Mw__TreeNews *news)
+{
+	if (news->version > f->tree_wanted)
+		f->tree_wanted = news->version;
+	if (news->version > f->tree_version && !f->tree_asked)
+		ask_tree(f, p);
+}
+
+/* ---- peers ---- */
+
+static void on_frame(struct peer *p, const Mw__Frame *frame, void *ctx)
+{
+	struct fwd *f = ctx;
+	int64_t now = clock_mono_us();
+
+	switch (frame->body_case) {
+	case MW__FRAME__BODY_ROSTER:
+		for (size_t i = 0; i < frame->roster->n_controls; i++)
+			dial(f, frame->roster->controls[i]->peer_addr);
+		break;
+	case MW__FRAME__BODY_TREE_NEWS:
+		take_news(f, p, frame->tree_news);
+		break;
+	case MW__FRAME__BODY_ENDPOINT_ROWS:
+		for (size_t i = 0; i < frame->endpoint_rows->n_rows; i++)
+			endpoints_take(f, frame->endpoint_rows->rows[i], now);
+		break;
+	case MW__FRAME__BODY_USE_TOTALS:
+		endpoints_totals(f, frame->use_totals, now);
+		break;
+	default:
+		log_debug("follow", "unexpected frame %d from %s",
+			  (int)frame->body_case, peer_hello(p)->host);
+	}
+	if (frame->rpc) {
+		Mw__Frame reply = MW__FRAME__INIT;
+		Mw__Ack ack = MW__ACK__INIT;
+
+		reply.body_case = MW__FRAME__BODY_ACK;
+		reply.ack = &ack;
+		peer_reply(f->peers, peer_rpc(p, frame), &reply);
+	}
+}
+
+static void log_peer(const char *kind, struct peer *p, const char *reason)
+{
+	struct slog l = slog_begin(kind);
+
+	slog_str(&l, "peer", peer_hello(p)->host);
+	slog_str(&l, "peer_role", peer_hello(p)->role);
+	if (reason)
+		slog_str(&l, "reason", reason);
+	slog_end(&l);
+}
+
+static void on_up(struct peer *p, void *ctx)
+{
+	(void)ctx;
+	log_peer("peer_up", p, NULL);
+}
+
+static void on_down(struct peer *p, int err, void *ctx)
+{
+	(void)ctx;
+	log_peer("peer_down", p, err_info(err)->kind);
+}
+
+int follow_start(struct fwd *f)
+{
+	struct frame_key key;
+	struct peer_config cfg = {
+		.loop = f->loop,
+		.key = &key,
+		.hlc = &f->hlc,
+		.listen = f->conf->peer_listen,
+		.host = f->conf->host,
+		.dc = f->conf->dc,
+		.role = "entry",
+		.admin_addr = f->conf->admin_listen,
+		.incarnation = f->incarnation,
+		.backoff_max_ms = 1000,
+		.ops = {.up = on_up, .down = on_down, .frame = on_frame},
+		.ctx = f,
+	};
+
+	memcpy(key.bytes, f->conf->cluster_key, sizeof(key.bytes));
+	f->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	int r = peer_net_new(&cfg, &f->peers);
+	for (size_t i = 0; r == 0 && i < f->conf->seed_nr; i++) {
+		const struct conf_addr *a = &f->conf->seed_list[i];
+		g_autofree char *addr =
+			g_strdup_printf("%s:%u", a->ip, a->port);
+		dial(f, addr);
+	}
+	return r;
+}
+
+void follow_stop(struct fwd *f)
+{
+	if (f->peers)
+		peer_net_free(f->peers);
+	if (f->known)
+		g_hash_table_destroy(f->known);
+}
+
+/* A control process of the own data centre, otherwise any. */
+static struct peer *nearest(struct fwd *f)
+{
+	struct peer *any = NULL;
+
+	for (struct peer *p = peer_next(f->peers, NULL); p;
+	     p = peer_next(f->peers, p)) {
+		if (!is_control(p))
+			continue;
+		if (!strcmp(peer_hello(p)->dc, f->conf->dc))
+			return p;
+		any = any ? any : p;
+	}
+	return any;
+}
+
+static void report_use(struct fwd *f, int64_t now)
+{
+	struct peer *p = nearest(f);
+	Mw__Frame frame = MW__FRAME__INIT;
+
+	if (!p)
+		return;
+	f->use_sent_us = now;
+	f->use_changed = false;
+	frame.body_case = MW__FRAME__BODY_USE_REPORT;
+	frame.use_report = endpoints_use(f);
+	peer_send(p, &frame);
+	endpoints_use_free(frame.use_report);
+}
+
+void follow_tick(struct fwd *f, int64_t now)
+{
+	int64_t age = now - f->use_sent_us;
+
+	if (age >= USE_MAX_US || (f->use_changed && age >= USE_MIN_US))
+		report_use(f, now);
+	if (f->tree_wanted > f->tree_version && !f->tree_asked) {
+		struct peer *p = nearest(f);
+		if (p)
+			ask_tree(f, p);
+	}
+}
--- /dev/null
+++ b/src/forward/fwd.c
@@ -0,0 +1,182 @@
+#include "forward/fwd.h"
+
+#include <signal.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "forward/request.h"
+#include "obs/slog.h"
+
+#define TICK_S 0.02
+
+/* Idle connections to endpoints that are kept for orders. */
+#define IDLE_CONNS 16
+
+/* Bodies of requests; callers' limits are in the published plan. */
+#define BODY_MAX_BYTES (4u << 20)
+
+/* A connection may be idle for longer than callers keep theirs (15 s). */
+#define IDLE_TIMEOUT_S 30
+
+/* Kept for peers, endpoints and files. */
+#define CONNS_MAX 2000
+
+/*
+ * After SIGTERM the balancer needs this to send new connections elsewhere: it
+ * asks once a second and takes the host out after two answers.
+ */
+#define UNREADY_US (3500 * USEC_PER_MSEC)
+
+static bool is_ready(struct fwd *f)
+{
+	return f->plan && !f->draining;
+}
+
+static void on_ready(void *ctx, struct httpd_req *http)
+{
+	struct fwd *f = ctx;
+	bool known = !strcmp(httpd_path(http), f->iface->ready_path);
+
+	httpd_reply(http, !known ? 404 : is_ready(f) ? 200 : 503, NULL, "", 0);
+}
+
+/* Ends the process once nothing is open, or shortly before it is killed. */
+static void drain_tick(struct fwd *f, int64_t now)
+{
+	int64_t since = now - f->drain_us;
+	int64_t limit = f->conf->drain_timeout_ms * USEC_PER_MSEC;
+
+	if (since < limit && (f->n_requests || since < MIN(UNREADY_US, limit)))
+		return;
+	struct slog l = slog_begin("stop");
+	slog_int(&l, "open", (int64_t)f->n_requests);
+	slog_int(&l, "since_us", since);
+	slog_end(&l);
+	ev_break(f->loop, EVBREAK_ALL);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	struct fwd *f = w->data;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)revents;
+	follow_tick(f, now);
+	request_tick(f, now);
+	endpoints_tick(f, now);
+	if (f->draining)
+		drain_tick(f, now);
+}
+
+static void on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct fwd *f = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (f->draining)
+		return;
+	f->draining = true;
+	f->drain_us = clock_mono_us();
+	struct slog l = slog_begin("drain");
+	slog_int(&l, "open", (int64_t)f->n_requests);
+	slog_end(&l);
+}
+
+static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	struct slog l = slog_begin("reload");
+
+	(void)loop;
+	(void)w;
+	(void)revents;
+	slog_end(&l);
+}
+
+static int start_http(struct fwd *f)
+{
+	const struct conf_addr *a = &f->conf->listen_addr;
+	const struct conf_addr *ready = &f->conf->ready_addr;
+	struct httpd_config cfg = {.max_body = BODY_MAX_BYTES,
+				   .max_conns = CONNS_MAX,
+				   .idle_timeout_s = IDLE_TIMEOUT_S,
+				   .conn_memory = f->iface->conn_memory};
+	struct httpd_config ready_cfg = {.max_conns = 64};
+	int r = httpd_new(f->loop, a->ip, a->port, &cfg, request_accept, f,
+			  &f->callers);
+
+	if (r == 0)
+		r = httpd_new(f->loop, ready->ip, ready->port, &ready_cfg,
+			      on_ready, f, &f->ready);
+	return r;
+}
+
+static void watch_signal(struct fwd *f, ev_signal *w, int signum,
+			 void (*fn)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(w, fn, signum);
+	w->data = f;
+	ev_signal_start(f->loop, w);
+}
+
+int fwd_new(struct conf *conf, struct ev_loop *loop, const struct iface *iface,
+	    struct fwd **out)
+{
+	struct fwd *f = g_new0(struct fwd, 1);
+
+	*out = f;
+	f->conf = conf;
+	f->loop = loop;
+	f->iface = iface;
+	f->incarnation = (uint64_t)clock_wall_us();
+	f->rand = conf->seed ? g_rand_new_with_seed((guint32)conf->seed)
+			     : g_rand_new();
+	slog_setup(conf->host, conf->dc, "entry", f->incarnation);
+	list_init(&f->requests);
+	list_init(&f->waiting);
+	f->est = est_new(NULL);
+	f->fetcher = fetcher_new(loop, IDLE_CONNS);
+	endpoints_start(f);
+	int r = follow_start(f);
+	if (r == 0)
+		r = start_http(f);
+	if (r < 0)
+		return r;
+	ev_timer_init(&f->tick, on_tick, TICK_S, TICK_S);
+	f->tick.data = f;
+	ev_timer_start(loop, &f->tick);
+	watch_signal(f, &f->sigterm, SIGTERM, on_term);
+	watch_signal(f, &f->sigint, SIGINT, on_term);
+	watch_signal(f, &f->sighup, SIGHUP, on_hangup);
+	struct slog l = slog_begin("start");
+	slog_str(&l, "listen", conf->listen);
+	slog_int(&l, "open_cluster", conf->open_cluster);
+	slog_end(&l);
+	return 0;
+}
+
+void fwd_free(struct fwd *f)
+{
+	struct request *r, *tmp;
+
+	ev_timer_stop(f->loop, &f->tick);
+	ev_signal_stop(f->loop, &f->sigterm);
+	ev_signal_stop(f->loop, &f->sigint);
+	ev_signal_stop(f->loop, &f->sighup);
+	if (f->callers)
+		httpd_free(f->callers);
+	if (f->ready)
+		httpd_free(f->ready);
+	list_for_each_entry_safe (r, tmp, &f->requests, node)
+		request_free(r);
+	fetcher_free(f->fetcher);
+	follow_stop(f);
+	endpoints_stop(f);
+	plan_unref(f->plan);
+	est_free(f->est);
+	g_rand_free(f->rand);
+	g_free(f);
+}
--- /dev/null
+++ b/src/forward/fwd.h
@@ -0,0 +1,143 @@
+#ifndef FORWARD_FWD_H
+#define FORWARD_FWD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "base/hlc.h"
+#include "base/list.h"
+#include "conf/conf.h"
+#include "forward/budget.h"
+#include "forward/plan.h"
+#include "iface/iface.h"
+#include "net/fetch.h"
+#include "net/httpd.h"
+#include "net/peer.h"
+#include "policy/est.h"
+#include "policy/registry.h"
+
+/*
+ * An entry host that forwards requests unchanged: callers speak to endpoints
+ * through an interface (iface.h).  One event loop, one thread:
+ *
+ *   fwd.c      start, readiness, shutdown
+ *   follow.c   what the control processes tell
+ *   endpoints.c     endpoints, their load and failures
+ *   request.c  life of a request: admission, waiting, placing, answer
+ *   relay.c    streams of events
+ *   move.c     generations whose endpoint leaves
+ *
+ * The host holds no lease: it serves the newest plan that it knows, also while
+ * it is cut off from the control processes.
+ */
+
+struct fwd;
+
+/* An endpoint as this host sees it. */
+struct target {
+	char id[128];
+	char addr[64];
+	char dc[64];
+	char service[128];
+	uint64_t incarnation;
+	unsigned int slots;
+	bool serving;
+	bool left; /* its address may belong to another one */
+	int64_t heard_us;
+	/* Own work. */
+	struct list requests; /* struct request, by target_node */
+	unsigned int open;
+	uint64_t tokens, prefill;
+	/* Work of the other hosts, as of the last totals. */
+	unsigned int others_open;
+	uint64_t others_tokens, others_prefill;
+	/* Failures. */
+	int64_t avoid_until_us;
+	unsigned int failures;
+	int64_t slow_us; /* smoothed time to the first answer, calls only */
+	int64_t link_free_us; /* moves from and to it are sent one by one */
+};
+
+/* Repeats of one service. */
+struct service_budget {
+	struct budget budget;
+};
+
+struct fwd {
+	struct conf *conf;
+	struct ev_loop *loop;
+	const struct iface *iface;
+	struct hlc hlc;
+	uint64_t incarnation;
+	GRand *rand;
+	struct peer_net *peers;
+	struct fetcher *fetcher;
+	struct httpd *callers;
+	struct httpd *ready;
+
+	/* follow.c */
+	GHashTable *known; /* addresses of control processes that are dialled */
+	uint64_t tree_version;
+	uint64_t tree_wanted;
+	bool tree_asked;
+	struct plan *plan; /* NULL until one is known */
+	uint64_t use_seq;
+	int64_t use_sent_us;
+	bool use_changed;
+	unsigned int hosts; /* that forward, this one included */
+
+	/* endpoints.c */
+	struct registry *registry;
+	GHashTable *targets; /* id to struct target */
+	GHashTable *budgets; /* service to struct service_budget */
+
+	/* request.c */
+	struct est *est;      /* output tokens, by route */
+	struct list requests; /* all */
+	struct list waiting;  /* those without an endpoint, by rank */
+	size_t n_requests;
+	size_t n_waiting;
+
+	ev_timer tick;
+	ev_signal sigterm, sigint, sighup;
+	bool draining;
+	int64_t drain_us; /* when the shutdown began */
+};
+
+int fwd_new(struct conf *conf, struct ev_loop *loop, const struct iface *iface,
+	    struct fwd **out);
+void fwd_free(struct fwd *f);
+
+/* ---- follow.c ---- */
+int follow_start(struct fwd *f);
+void follow_stop(struct fwd *f);
+void follow_tick(struct fwd *f, int64_t now);
+
+/* ---- endpoints.c ---- */
+void endpoints_start(struct fwd *f);
+void endpoints_stop(struct fwd *f);
+void endpoints_take(struct fwd *f, const Mw__EndpointInfo *info, int64_t now);
+void endpoints_totals(struct fwd *f, const Mw__UseTotals *totals, int64_t now);
+/* The rows of this host's own report; freed with endpoints_use_free(). */
+Mw__UseReport *endpoints_use(struct fwd *f);
+void endpoints_use_free(Mw__UseReport *r);
+struct target *endpoints_target(struct fwd *f, const char *id);
+/* A request could not be delivered, or the endpoint broke off. */
+void endpoints_failed(struct fwd *f, struct target *t, int64_t now);
+void endpoints_worked(struct fwd *f, struct target *t, int64_t now);
+struct budget *endpoints_budget(struct fwd *f, const char *service);
+void endpoints_tick(struct fwd *f, int64_t now);
+
+/* ---- request.c ---- */
+void request_accept(void *ctx, struct httpd_req *http);
+void request_tick(struct fwd *f, int64_t now);
+/* Tries to place what waits. */
+void request_pump(struct fwd *f, int64_t now);
+
+/* ---- move.c ---- */
+/* The endpoint leaves: moves the generations of this host. */
+void move_target(struct fwd *f, struct target *t, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/forward/place.c
@@ -0,0 +1,98 @@
+#include "forward/place.h"
+
+/* Prompt tokens that an engine reads in a millisecond (deployments: 14). */
+#define READ_TOKENS_PER_MS 14
+
+/*
+ * Part of the slots and of the memory that less urgent work may fill, percent.
+ * Short urgent answers come 1.4 times as often as long ones and stay a
+ * fiftieth of their time, so a tenth is enough for them.
+ */
+#define SHARED_PERCENT 90
+
+/* Expected memory may reach this part of an engine: sums of means are exceeded
+ * now and then, and an engine that is out of memory preempts. */
+#define MEMORY_PERCENT 94
+
+/*
+ * Cost of each step away, in microseconds of delay: the round trip (2 and 24
+ * ms), and the price of the bytes, which for a long answer is as much again.
+ */
+static const int64_t distance_us[] = {0, 6000, 40000};
+
+/* A generation slows each token of the others by 0.12 ms; over 30 tokens. */
+#define STREAM_COST_US 3600
+
+/* A request in a plain endpoint's slot delays the next one by its work. */
+#define CALL_COST_US 10000
+
+static bool has_room(const struct place_target *t, const struct place_ask *ask)
+{
+	unsigned int slots = t->slots;
+	uint64_t memory = t->memory_tokens * MEMORY_PERCENT / 100;
+
+	if (!ask->generation)
+		return true;
+	if (!ask->urgent) {
+		slots = slots * SHARED_PERCENT / 100;
+		memory = memory * SHARED_PERCENT / 100;
+	}
+	if (t->open >= slots)
+		return false;
+	/* A request alone may be larger than the part it may fill. */
+	return !t->open || t->tokens + ask->need_tokens <= memory;
+}
+
+static int64_t cost(const struct place_target *t, const struct place_ask *ask)
+{
+	int64_t us = distance_us[t->distance < 2 ? t->distance : 2];
+
+	us += t->slow_us;
+	if (!ask->generation) {
+		/* Beyond the slots requests wait. */
+		int64_t over = (int64_t)t->open - (int64_t)t->slots + 1;
+		us += CALL_COST_US * (int64_t)t->open /
+		      (t->slots ? t->slots : 1);
+		return over > 0 ? us + CALL_COST_US * over : us;
+	}
+	us += (int64_t)t->prefill * 1000 / READ_TOKENS_PER_MS;
+	us += (int64_t)t->open * STREAM_COST_US;
+	/* Towards full memory the risk of preemption grows. */
+	if (t->memory_tokens)
+		us += (int64_t)(t->tokens * 100000 / t->memory_tokens);
+	return us;
+}
+
+enum place_result place_choose(const struct place_target *targets, size_t n,
+			       const struct place_ask *ask, size_t *index)
+{
+	enum place_result result = PLACE_NONE;
+	int64_t best = 0;
+	bool best_silent = true;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct place_target *t = &targets[i];
+
+		if (!t->usable || t->excluded)
+			continue;
+		if (!has_room(t, ask)) {
+			if (result == PLACE_NONE)
+				result = PLACE_FULL;
+			continue;
+		}
+		int64_t c = cost(t, ask);
+		bool better = result != PLACE_OK ||
+			      (best_silent && !t->silent) ||
+			      (best_silent == t->silent &&
+			       (c < best ||
+				(c == best && t->tie < targets[*index].tie)));
+		if (!better ||
+		    (result == PLACE_OK && !best_silent && t->silent))
+			continue;
+		result = PLACE_OK;
+		best = c;
+		best_silent = t->silent;
+		*index = i;
+	}
+	return result;
+}
--- /dev/null
+++ b/src/forward/place.h
@@ -0,0 +1,52 @@
+#ifndef FORWARD_PLACE_H
+#define FORWARD_PLACE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Which endpoint takes a request.  A decision without I/O.
+ *
+ * The load that it answers: many hosts place on the same endpoints, whose own
+ * reports are half a second old, and generations hold memory of unknown size
+ * for many seconds.  So the counts are those of the hosts themselves, which
+ * are a tenth of a second old, and memory is what the generations are expected
+ * to need at their end.  A long prompt that is read delays the tokens of all
+ * that run beside it, so prompts that are still to be read cost most.
+ */
+
+struct place_target {
+	bool usable;   /* serving, and not avoided after a failure */
+	bool silent;   /* not announced for some time; used last */
+	bool excluded; /* the request was there already */
+	unsigned int
+		distance; /* 0: same data centre, 1: same region, 2: other */
+	unsigned int slots;
+	uint64_t memory_tokens; /* 0: a plain endpoint */
+	/* Work of all hosts on it. */
+	unsigned int open;
+	uint64_t tokens;  /* that its generations will need */
+	uint64_t prefill; /* prompt tokens not read yet */
+	int64_t slow_us;  /* recent time to the first answer above the usual */
+	uint64_t tie;	  /* breaks ties; different for each host and request */
+};
+
+struct place_ask {
+	bool generation;
+	bool urgent; /* may use what is kept for urgent work */
+	uint32_t prompt_tokens;
+	uint64_t need_tokens; /* memory expected at its end */
+};
+
+enum place_result {
+	PLACE_OK,
+	PLACE_FULL, /* endpoints serve, but none has room */
+	PLACE_NONE, /* no endpoint can be used at all */
+};
+
+/* Sets *index of the chosen target. */
+enum place_result place_choose(const struct place_target *targets, size_t n,
+			       const struct place_ask *ask, size_t *index);
+
+#endif
--- /dev/null
+++ b/src/forward/relay.c
@@ -0,0 +1,174 @@
+#include "forward/request.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "obs/slog.h"
+
+/*
+ * Streams of events.  Whole events are passed on as they arrive, each once and
+ * in order, so that the stream can go on with another endpoint after any of
+ * them (move.c).  The answer is ended as complete only if the endpoint ended
+ * it so.
+ */
+
+/* An event that is larger breaks the stream off. */
+#define EVENT_MAX_BYTES (256u << 10)
+
+/* The memory forecast is made anew after so many events. */
+#define COUNT_EVENTS 16
+
+void relay_begin(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	headers *h = f->iface->answer_headers(r->fetch);
+
+	if (f->draining)
+		headers_add(h, "Connection", "close");
+	g_ptr_array_add(h, NULL);
+	r->state = REQUEST_STREAM;
+	r->last_event = r->ask.last_event;
+	httpd_stream_begin(r->http, r->status, (const char *const *)h->pdata);
+	g_ptr_array_unref(h);
+	struct target *t = endpoints_target(f, r->target);
+	if (t && !t->serving)
+		move_begin(r, now);
+}
+
+/* Length of the first event in the buffer with its empty line; 0: none. */
+static size_t event_length(const char *p, size_t n)
+{
+	for (size_t i = 0; i + 1 < n; i++) {
+		if (p[i] != '\n')
+			continue;
+		if (p[i + 1] == '\n')
+			return i + 2;
+		if (i + 2 < n && p[i + 1] == '\r' && p[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+/* The id of an event; false if it has none. */
+static bool event_id(const char *p, size_t n, uint64_t *id)
+{
+	const char *end = p + n;
+
+	while (p < end) {
+		const char *eol = memchr(p, '\n', (size_t)(end - p));
+		if (!eol)
+			return false;
+		if (eol - p > 3 && !strncmp(p, "id:", 3)) {
+			char *stop;
+			*id = g_ascii_strtoull(p + 3, &stop, 10);
+			return stop > p + 3;
+		}
+		p = eol + 1;
+	}
+	return false;
+}
+
+/* Hands bytes to the caller, or keeps them until it reads. */
+static void pass_on(struct request *r, const char *p, size_t n)
+{
+	if (buf_unread(&r->unsent_events) ||
+	    httpd_stream_write(r->http, p, n) < 0) {
+		buf_add(&r->unsent_events, p, n);
+		if (r->fetch)
+			fetch_pause(r->fetch);
+	}
+}
+
+static void take_event(struct request *r, const char *p, size_t n, int64_t now)
+{
+	uint64_t id;
+
+	if (event_id(p, n, &id)) {
+		if (r->events && id <= r->last_event)
+			return;
+		r->last_event = id;
+		if (!r->events) {
+			struct slog l = slog_routine("first_event");
+			slog_str(&l, "request", r->ask.id);
+			slog_str(&l, "endpoint", r->target);
+			slog_int(&l, "age_us", now - r->arrived_us);
+			slog_int(&l, "since_sent_us", now - r->sent_us);
+			slog_end(&l);
+		}
+		r->events++;
+		r->last_event_us = now;
+		if (r->events % COUNT_EVENTS == 0)
+			request_count(r, now);
+	}
+	pass_on(r, p, n);
+}
+
+void relay_data(struct request *r, const char *p, size_t n, int64_t now)
+{
+	size_t len;
+
+	buf_add(&r->event, p, n);
+	while ((len = event_length(buf_head(&r->event),
+				   buf_unread(&r->event)))) {
+		take_event(r, buf_head(&r->event), len, now);
+		buf_consume(&r->event, len);
+	}
+	if (buf_unread(&r->event) > EVENT_MAX_BYTES)
+		relay_abort(r, "event too large", now);
+}
+
+static void finish(struct request *r, int64_t now)
+{
+	unsigned int per_event =
+		r->service->event_tokens ? r->service->event_tokens : 1;
+
+	if (r->generation)
+		est_observe(r->fwd->est, "", r->route->name,
+			    (uint32_t)(r->events * per_event), now);
+	request_log(r, "answered", "ok", now);
+	httpd_stream_end(r->http);
+	request_free(r);
+}
+
+void relay_abort(struct request *r, const char *why, int64_t now)
+{
+	request_log(r, "broken_off", why, now);
+	httpd_abort(r->http);
+	request_free(r);
+}
+
+void relay_done(struct request *r, bool whole, const char *why, int64_t now)
+{
+	struct target *t = endpoints_target(r->fwd, r->target);
+
+	if (whole && !buf_unread(&r->event)) {
+		r->ended = true;
+		if (!buf_unread(&r->unsent_events))
+			finish(r, now);
+		return;
+	}
+	/* Part of an event comes again with the next endpoint. */
+	buf_consume(&r->event, buf_unread(&r->event));
+	if (move_source_ended(r, now))
+		return;
+	if (t && t->incarnation == r->incarnation)
+		endpoints_failed(r->fwd, t, now);
+	relay_abort(r, why, now);
+}
+
+void relay_drained(struct request *r, int64_t now)
+{
+	size_t n = buf_unread(&r->unsent_events);
+
+	if (n) {
+		if (httpd_stream_write(r->http, buf_head(&r->unsent_events),
+				       n) < 0)
+			return;
+		buf_consume(&r->unsent_events, n);
+	}
+	if (r->ended)
+		finish(r, now);
+	else if (r->fetch)
+		fetch_resume(r->fetch);
+}
--- /dev/null
+++ b/src/forward/request.c
@@ -0,0 +1,627 @@
+#include "forward/request.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/err.h"
+#include "forward/place.h"
+#include "obs/slog.h"
+
+/* A connection is made within this or the next endpoint is tried; the longest
+ * round trip is 24 ms. */
+#define CONNECT_TIMEOUT_MS 400
+
+/* Endpoints that one request may fail to reach. */
+#define UNSENT_MAX 3
+
+/* Of the time to the answer that callers aim at, a request may wait this part
+ * for room before it is refused; a caller that comes back loses little. */
+#define WAIT_PART 8
+
+/* Requests that wait on one host; more are refused at once. */
+#define WAITING_MAX 256
+
+/* Requests open on one host, each with buffers of some 10 KiB. */
+#define REQUESTS_MAX 3000
+
+/* Body of an answer that is passed on whole. */
+#define BODY_MAX_BYTES (4u << 20)
+
+/*
+ * Refused callers come back spread over this time, so that they do not meet
+ * again; generations leave after seconds, calls after milliseconds.
+ */
+#define RETURN_MIN_US (900 * USEC_PER_MSEC)
+#define RETURN_SPREAD_US (2600 * USEC_PER_MSEC)
+#define RETURN_CALL_US (200 * USEC_PER_MSEC)
+
+/* Less time than this is of no use to an endpoint. */
+#define LEFT_MIN_US (10 * USEC_PER_MSEC)
+
+/* Memory is forecast for a length that is exceeded once in three times. */
+#define NEED_QUANTILE 0.66
+
+static void on_closed(void *arg, struct httpd_req *http);
+static void on_drained(void *arg, struct httpd_req *http);
+
+static const struct httpd_req_ops http_ops = {
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+static const char *const state_names[] = {"waiting", "sent", "stream",
+					  "paused"};
+
+void request_log(struct request *r, const char *kind, const char *outcome,
+		 int64_t now)
+{
+	bool well = !strcmp(outcome, "ok");
+	struct slog l = well ? slog_routine(kind) : slog_begin(kind);
+
+	slog_str(&l, "request", r->ask.id);
+	slog_str(&l, "route", r->route ? r->route->name : "");
+	slog_str(&l, "account", r->account ? r->account->name : "");
+	slog_int(&l, "rank", r->rank);
+	slog_int(&l, "plan", r->plan ? (int64_t)r->plan->revision : 0);
+	slog_str(&l, "state", state_names[r->state]);
+	slog_str(&l, "outcome", outcome);
+	slog_int(&l, "age_us", now - r->arrived_us);
+	if (*r->target)
+		slog_str(&l, "endpoint", r->target);
+	slog_int(&l, "attempts", r->attempts);
+	if (r->status)
+		slog_int(&l, "status", r->status);
+	if (r->events)
+		slog_int(&l, "events", (int64_t)r->events);
+	slog_end(&l);
+}
+
+/* ---- counts at the endpoint ---- */
+
+static uint64_t expected_tokens(struct request *r, int64_t now)
+{
+	unsigned int per_event =
+		r->service->event_tokens ? r->service->event_tokens : 1;
+	struct est_query q = {.account = "",
+			      .route = r->route->name,
+			      .produced = (uint32_t)(r->events * per_event),
+			      .max_tokens = r->ask.max_tokens};
+
+	return q.produced + est_quantile(r->fwd->est, &q, NEED_QUANTILE, now);
+}
+
+void request_count(struct request *r, int64_t now)
+{
+	struct target *t = endpoints_target(r->fwd, r->target);
+	uint64_t need;
+
+	if (!r->generation)
+		return;
+	need = r->ask.prompt_tokens + expected_tokens(r, now);
+	if (t && r->need_tokens) {
+		t->tokens = t->tokens + need - r->need_tokens;
+		r->fwd->use_changed = true;
+	}
+	r->need_tokens = need;
+}
+
+static void attach(struct request *r, struct target *t)
+{
+	g_strlcpy(r->target, t->id, sizeof(r->target));
+	r->incarnation = t->incarnation;
+	t->open++;
+	t->tokens += r->need_tokens;
+	t->prefill += r->prefill;
+	list_add_tail(&t->requests, &r->target_node);
+	r->fwd->use_changed = true;
+}
+
+static void prefill_done(struct request *r)
+{
+	struct target *t = endpoints_target(r->fwd, r->target);
+
+	if (t)
+		t->prefill -= r->prefill;
+	r->prefill = 0;
+}
+
+void request_detach(struct request *r)
+{
+	struct target *t = endpoints_target(r->fwd, r->target);
+
+	if (r->fetch) {
+		fetch_cancel(r->fetch);
+		r->fetch = NULL;
+	}
+	if (!*r->target)
+		return;
+	list_del(&r->target_node);
+	if (t) {
+		t->open--;
+		t->tokens -= r->need_tokens;
+		t->prefill -= r->prefill;
+	}
+	g_strlcpy(r->tried, r->target, sizeof(r->tried));
+	*r->target = '\0';
+	r->prefill = 0;
+	r->fwd->use_changed = true;
+}
+
+/* ---- end ---- */
+
+void request_free(struct request *r)
+{
+	struct fwd *f = r->fwd;
+
+	request_detach(r);
+	move_release(r);
+	if (r->state == REQUEST_WAITING && r->wait_node.next != &r->wait_node)
+		f->n_waiting--;
+	list_del(&r->wait_node);
+	list_del(&r->node);
+	ev_timer_stop(f->loop, &r->timer);
+	buf_release(&r->body);
+	buf_release(&r->event);
+	buf_release(&r->unsent_events);
+	plan_unref(r->plan);
+	f->n_requests--;
+	g_free(r);
+}
+
+/* Callers that are refused for want of room return spread over some time. */
+static int64_t return_after(struct request *r, int err, int64_t now)
+{
+	int64_t left = r->deadline_us - now;
+	int64_t us = RETURN_CALL_US;
+
+	if (!err_info(err)->resend && err != -MW_EAGAIN)
+		return 0;
+	if (r->generation)
+		us = RETURN_MIN_US +
+		     (int64_t)(g_rand_double(r->fwd->rand) * RETURN_SPREAD_US);
+	return left > 0 ? MIN(us, left / 4) : us;
+}
+
+void request_refuse(struct request *r, int err, const char *why, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	int64_t after = r->may_have_run ? 0 : return_after(r, err, now);
+	struct slog l = slog_begin("refused");
+
+	slog_str(&l, "request", r->ask.id);
+	slog_str(&l, "route", r->route ? r->route->name : "");
+	slog_str(&l, "account", r->account ? r->account->name : "");
+	slog_int(&l, "plan", r->plan ? (int64_t)r->plan->revision : 0);
+	slog_str(&l, "error", err_info(err)->kind);
+	slog_str(&l, "reason", why);
+	slog_int(&l, "may_have_run", r->may_have_run);
+	slog_int(&l, "retry_after_us", after);
+	slog_int(&l, "age_us", now - r->arrived_us);
+	slog_int(&l, "attempts", r->attempts);
+	slog_str(&l, "endpoint", *r->target ? r->target : r->tried);
+	slog_int(&l, "waiting", (int64_t)f->n_waiting);
+	slog_end(&l);
+	f->iface->refuse(r->http, err, r->may_have_run, after, f->draining);
+	request_free(r);
+}
+
+static void on_closed(void *arg, struct httpd_req *http)
+{
+	struct request *r = arg;
+
+	(void)http;
+	request_log(r, "caller_left", "cancelled", clock_mono_us());
+	request_free(r);
+}
+
+static void on_drained(void *arg, struct httpd_req *http)
+{
+	(void)http;
+	relay_drained(arg, clock_mono_us());
+}
+
+static void on_deadline(EV_P_ ev_timer *w, int revents)
+{
+	struct request *r = w->data;
+	int64_t now = clock_mono_us();
+
+	(void)loop;
+	(void)revents;
+	if (r->state == REQUEST_STREAM || r->state == REQUEST_PAUSED) {
+		relay_abort(r, "timeout", now);
+		return;
+	}
+	if (r->state == REQUEST_SENT)
+		r->may_have_run = true;
+	request_refuse(r, r->may_have_run ? -MW_ETIMEOUT : -MW_EDEADLINE,
+		       "timeout", now);
+}
+
+/* ---- placing ---- */
+
+static unsigned int distance(const char *dc, const struct target *t)
+{
+	return strcmp(t->dc, dc) ? 2 : 0;
+}
+
+struct target *request_choose(struct request *r, const char *except,
+			      const char *near, bool *any, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	guint max = g_hash_table_size(f->targets);
+	g_autofree struct place_target *list =
+		g_new0(struct place_target, max + 1);
+	g_autofree struct target **targets = g_new0(struct target *, max + 1);
+	struct place_ask ask = {.generation = r->generation,
+				.urgent = r->route->aim_us < 2 * USEC_PER_SEC,
+				.prompt_tokens = r->ask.prompt_tokens,
+				.need_tokens = r->need_tokens};
+	GHashTableIter iter;
+	struct target *t;
+	size_t n = 0, index = 0;
+
+	g_hash_table_iter_init(&iter, f->targets);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
+		if (strcmp(t->service, r->service->name) != 0)
+			continue;
+		targets[n] = t;
+		list[n++] = (struct place_target){
+			.usable = t->serving && now >= t->avoid_until_us,
+			.silent = now - t->heard_us > REGISTRY_SILENT_US,
+			.excluded = !strcmp(t->id, except),
+			.distance = distance(near, t),
+			.slots = t->slots,
+			.memory_tokens = r->service->memory_tokens,
+			.open = t->open + t->others_open,
+			.tokens = t->tokens + t->others_tokens,
+			.prefill = t->prefill + t->others_prefill,
+			.slow_us = t->slow_us,
+			.tie = g_rand_int(f->rand),
+		};
+	}
+	enum place_result res = place_choose(list, n, &ask, &index);
+	*any = res != PLACE_NONE;
+	return res == PLACE_OK ? targets[index] : NULL;
+}
+
+static void wait_for_room(struct request *r)
+{
+	struct fwd *f = r->fwd;
+	struct list *at;
+
+	r->state = REQUEST_WAITING;
+	/* In order of rank, then of arrival. */
+	for (at = f->waiting.prev; at != &f->waiting; at = at->prev) {
+		struct request *o = list_entry(at, struct request, wait_node);
+		if (o->rank < r->rank ||
+		    (o->rank == r->rank && o->arrived_us <= r->arrived_us))
+			break;
+	}
+	list_add(at, &r->wait_node);
+	f->n_waiting++;
+}
+
+/* Returns whether the request was placed. */
+static bool try_place(struct request *r, int64_t now, bool *any)
+{
+	struct fwd *f = r->fwd;
+	struct target *t = request_choose(r, r->tried, f->conf->dc, any, now);
+
+	/* The endpoint that refused is better than none. */
+	if (!t && *r->tried && !*any)
+		t = request_choose(r, "", f->conf->dc, any, now);
+	if (!t)
+		return false;
+	if (r->wait_node.next != &r->wait_node) {
+		list_del(&r->wait_node);
+		f->n_waiting--;
+	}
+	request_send(r, t, NULL, now);
+	return true;
+}
+
+static void place(struct request *r, int64_t now)
+{
+	bool any;
+
+	if (r->deadline_us - now < LEFT_MIN_US) {
+		request_refuse(r, -MW_EDEADLINE, "no time left", now);
+		return;
+	}
+	if (try_place(r, now, &any))
+		return;
+	if (r->fwd->n_waiting >= WAITING_MAX) {
+		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
+		return;
+	}
+	request_log(r, "queued", any ? "full" : "no endpoint", now);
+	wait_for_room(r);
+}
+
+static int64_t wait_max_us(const struct request *r)
+{
+	return r->route->aim_us / WAIT_PART;
+}
+
+void request_pump(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+	bool any;
+
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		try_place(r, now, &any);
+}
+
+void request_tick(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+
+	request_pump(f, now);
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		if (now - r->arrived_us >= wait_max_us(r))
+			request_refuse(r, -MW_EQUEUEFULL, "no room", now);
+}
+
+/* ---- attempt ---- */
+
+static void on_headers(void *arg, struct fetch *fetch, int status)
+{
+	struct request *r = arg;
+	int64_t now = clock_mono_us();
+
+	r->status = status;
+	r->answer = r->fwd->iface->answer(fetch, status, &r->ask);
+	prefill_done(r);
+	if (r->answer.crossed || !r->answer.whole || status != 200 ||
+	    r->route->kind != PLAN_STREAM)
+		return;
+	if (r->state == REQUEST_PAUSED) {
+		move_complete(r, now);
+		r->state = REQUEST_STREAM;
+		return;
+	}
+	relay_begin(r, now);
+}
+
+static void on_data(void *arg, struct fetch *fetch, const char *p, size_t n)
+{
+	struct request *r = arg;
+
+	(void)fetch;
+	if (r->state == REQUEST_STREAM) {
+		relay_data(r, p, n, clock_mono_us());
+		return;
+	}
+	if (buf_unread(&r->body) + n > BODY_MAX_BYTES)
+		r->body_too_big = true;
+	else
+		buf_add(&r->body, p, n);
+}
+
+static void pass_answer(struct request *r, struct fetch *fetch, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	headers *h = f->iface->answer_headers(fetch);
+
+	if (f->draining)
+		headers_add(h, "Connection", "close");
+	g_ptr_array_add(h, NULL);
+	request_log(r, "answered", r->status < 500 ? "ok" : "endpoint_error",
+		    now);
+	httpd_reply(r->http, r->status, (const char *const *)h->pdata,
+		    buf_head(&r->body), buf_unread(&r->body));
+	g_ptr_array_unref(h);
+	request_free(r);
+}
+
+/* Whether the request may be sent to another endpoint; takes from the budget.
+ */
+static bool may_repeat(struct request *r, bool ran, bool arrived, int64_t now)
+{
+	if (r->deadline_us - now < LEFT_MIN_US)
+		return false;
+	if (!arrived)
+		return ++r->unsent <= UNSENT_MAX;
+	if (ran && r->route->kind != PLAN_IDEMPOTENT)
+		return false;
+	if (ran && r->attempts >= r->route->max_endpoints)
+		return false;
+	if (r->attempts >= r->route->max_endpoints + 1)
+		return false;
+	return budget_repeat(endpoints_budget(r->fwd, r->service->name));
+}
+
+static void again(struct request *r, const char *why, int64_t now)
+{
+	request_log(r, "repeat", why, now);
+	request_detach(r);
+	buf_consume(&r->body, buf_unread(&r->body));
+	r->status = 0;
+	r->body_too_big = false;
+	place(r, now);
+}
+
+static void attempt_failed(struct request *r, const struct fetch_result *res,
+			   int64_t now)
+{
+	struct target *t = endpoints_target(r->fwd, r->target);
+	bool arrived = res->sent != 0;
+	bool ran = arrived && !r->answer.not_run;
+
+	if (t && res->err != FETCH_OK && t->incarnation == r->incarnation &&
+	    res->err != FETCH_TIMEOUT)
+		endpoints_failed(r->fwd, t, now);
+	r->may_have_run |= ran;
+	if (may_repeat(r, ran, arrived, now)) {
+		again(r, res->err == FETCH_OK ? "refused" : res->text, now);
+		return;
+	}
+	if (r->may_have_run)
+		request_refuse(r,
+			       res->err == FETCH_TIMEOUT ? -MW_ETIMEOUT
+							 : -MW_EUPSTREAM,
+			       res->text, now);
+	else
+		request_refuse(r, -MW_ENOENDPOINT,
+			       r->answer.not_run ? "endpoint refused"
+						 : res->text,
+			       now);
+}
+
+static void on_done(void *arg, struct fetch *fetch,
+		    const struct fetch_result *res)
+{
+	struct request *r = arg;
+	int64_t now = clock_mono_us();
+
+	r->fetch = NULL;
+	if (r->state == REQUEST_STREAM) {
+		relay_done(r, res->err == FETCH_OK, res->text, now);
+		return;
+	}
+	if (r->state == REQUEST_PAUSED) {
+		if (!move_failed(r, now))
+			relay_abort(r, "resume failed", now);
+		return;
+	}
+	bool usable = res->err == FETCH_OK && r->answer.whole &&
+		      !r->answer.crossed && !r->answer.not_run &&
+		      !r->answer.other && !r->body_too_big;
+	struct target *t = endpoints_target(r->fwd, r->target);
+	if (usable && t)
+		endpoints_worked(r->fwd, t, now);
+	if (usable && r->status >= 500 && may_repeat(r, true, true, now)) {
+		r->may_have_run = true;
+		again(r, "endpoint error", now);
+		return;
+	}
+	if (usable)
+		pass_answer(r, fetch, now);
+	else
+		attempt_failed(r, res, now);
+}
+
+static const struct fetch_ops attempt_ops = {
+	.headers = on_headers,
+	.data = on_data,
+	.done = on_done,
+};
+
+void request_send(struct request *r, struct target *t, const char *resume_from,
+		  int64_t now)
+{
+	struct fwd *f = r->fwd;
+	struct attempt a = {.endpoint = t->id,
+			    .account = r->account ? r->account->name : NULL,
+			    .rank = r->rank,
+			    .left_us = r->deadline_us - now,
+			    .resume_from = resume_from,
+			    .last_event = r->last_event};
+	headers *h = f->iface->request_headers(r->http, &r->ask, &a);
+	g_autofree char *url =
+		g_strdup_printf("http://%s%s", t->addr, r->ask.target);
+	struct fetch_spec spec = {
+		.method = r->ask.method,
+		.url = url,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.timeout_ms = (int)(a.left_us / USEC_PER_MSEC) + 1,
+		.flags = FETCH_FRESH,
+	};
+
+	g_ptr_array_add(h, NULL);
+	spec.headers = (const char *const *)h->pdata;
+	spec.body = httpd_body(r->http, &spec.body_len);
+	r->prefill = resume_from ? 0 : r->ask.prompt_tokens;
+	r->answer = (struct answer){0};
+	r->attempts++;
+	r->sent_us = now;
+	if (r->state != REQUEST_PAUSED)
+		r->state = REQUEST_SENT;
+	attach(r, t);
+	struct slog l = slog_routine("placed");
+	slog_str(&l, "request", r->ask.id);
+	slog_str(&l, "endpoint", t->id);
+	slog_int(&l, "attempt", r->attempts);
+	slog_int(&l, "open", t->open + t->others_open);
+	slog_int(&l, "tokens", (int64_t)(t->tokens + t->others_tokens));
+	slog_int(&l, "need", (int64_t)r->need_tokens);
+	slog_int(&l, "wait_us", now - r->arrived_us);
+	if (resume_from)
+		slog_str(&l, "resume_from", resume_from);
+	slog_end(&l);
+	r->fetch = fetch_start(f->fetcher, &spec, &attempt_ops, r);
+	g_ptr_array_unref(h);
+}
+
+/* ---- admission ---- */
+
+static int admit(struct request *r, const char **why)
+{
+	struct fwd *f = r->fwd;
+
+	*why = "not ready";
+	if (!f->plan)
+		return -MW_EAGAIN;
+	r->plan = plan_ref(f->plan);
+	*why = "too many requests";
+	if (f->n_requests > REQUESTS_MAX)
+		return -MW_EQUEUEFULL;
+	*why = "no such route";
+	r->route = plan_route(r->plan, r->ask.host, r->ask.target);
+	if (!r->route)
+		return -MW_ENOTFOUND;
+	*why = "unknown key";
+	r->account = r->ask.key ? plan_account(r->plan, r->ask.key) : NULL;
+	if (!r->account && !r->route->open)
+		return -MW_EAUTH;
+	*why = "route without service";
+	r->service = plan_backend(r->route, g_rand_int(f->rand));
+	return r->service ? 0 : -MW_ENOENDPOINT;
+}
+
+static void set_times(struct request *r)
+{
+	int64_t limit = r->route->timeout_us;
+
+	if (r->ask.patience_us && r->ask.patience_us < limit)
+		limit = r->ask.patience_us;
+	r->deadline_us = r->arrived_us + limit;
+	ev_timer_init(&r->timer, on_deadline, (double)limit / USEC_PER_SEC, 0.);
+	r->timer.data = r;
+	ev_timer_start(r->fwd->loop, &r->timer);
+}
+
+void request_accept(void *ctx, struct httpd_req *http)
+{
+	struct fwd *f = ctx;
+	struct request *r = g_new0(struct request, 1);
+	const char *why = "malformed";
+	int64_t now = clock_mono_us();
+
+	r->fwd = f;
+	r->http = http;
+	r->arrived_us = now;
+	r->state = REQUEST_WAITING;
+	list_add_tail(&f->requests, &r->node);
+	list_init(&r->wait_node);
+	list_init(&r->target_node);
+	f->n_requests++;
+	httpd_own(http, &http_ops, r);
+	int err = f->iface->ask(http, &r->ask);
+	if (err == 0)
+		err = admit(r, &why);
+	if (err < 0) {
+		r->deadline_us = now;
+		request_refuse(r, err, why, now);
+		return;
+	}
+	r->rank = r->account && r->account->rank >= 0
+			  ? (unsigned int)r->account->rank
+			  : r->route->rank;
+	r->generation = r->service->engine && r->ask.prompt_tokens;
+	set_times(r);
+	request_count(r, now);
+	budget_request(endpoints_budget(f, r->service->name));
+	place(r, now);
+}
--- /dev/null
+++ b/src/forward/request.h
@@ -0,0 +1,139 @@
+#ifndef FORWARD_REQUEST_H
+#define FORWARD_REQUEST_H
+
+#include "forward/fwd.h"
+
+/*
+ * One request on its way from a caller to an endpoint and back.
+ *
+ * Invariants:
+ * - A request that may run once only is never sent again after an attempt
+ *   that may have run.
+ * - A refusal that says "not run" is given only if no attempt may have run.
+ * - Bytes of an answer reach the caller from one run only.
+ */
+
+enum request_state {
+	REQUEST_WAITING, /* for an endpoint with room */
+	REQUEST_SENT,	 /* at an endpoint, no answer yet */
+	REQUEST_STREAM,	 /* events are passed on */
+	REQUEST_PAUSED,	 /* between two endpoints, see move.c */
+};
+
+enum move_state {
+	MOVE_NONE,
+	MOVE_COPY,   /* the memory is copied while the generation goes on */
+	MOVE_READY,  /* a copy is complete */
+	MOVE_STOP,   /* the generation stops, the rest is copied */
+	MOVE_RESUME, /* it goes on at the target */
+};
+
+struct move {
+	enum move_state state;
+	char source[128]; /* endpoint id */
+	char source_addr[64];
+	char target[128];
+	char target_addr[64];
+	char handle[256]; /* "IP:PORT/HANDLE", "" before a copy is complete */
+	struct fetch *fetch; /* the order that is open */
+	struct buf reply;
+	int status;
+	unsigned int tries;
+	uint64_t reserved; /* memory counted at the target for the copy */
+	int64_t began_us;
+};
+
+struct request {
+	struct list node;
+	struct list wait_node;
+	struct list target_node;
+	struct fwd *fwd;
+	struct httpd_req *http;
+	struct ask ask;
+	struct plan *plan;
+	const struct plan_route *route;
+	const struct plan_account *account; /* NULL: an open route */
+	const struct plan_service *service;
+	enum request_state state;
+	unsigned int rank;
+	bool generation;
+	int64_t arrived_us;
+	int64_t deadline_us; /* when an answer is no longer of use */
+	ev_timer timer;	     /* at the deadline */
+
+	/* Placement. */
+	char target[128]; /* endpoint id, "" while it waits */
+	char tried[128];  /* endpoint of the attempt before */
+	uint64_t incarnation;
+	struct fetch *fetch;
+	int64_t sent_us;
+	unsigned int attempts;
+	unsigned int unsent; /* attempts that reached no endpoint */
+	bool may_have_run;
+	uint64_t need_tokens; /* as counted at the target */
+	uint64_t prefill;     /* as counted at the target */
+
+	/* Answer. */
+	int status;
+	struct answer answer;
+	struct buf body; /* of an answer that is passed on whole */
+	bool body_too_big;
+
+	/* Stream. */
+	struct buf event;	  /* incomplete event */
+	struct buf unsent_events; /* that the caller's buffer did not take */
+	uint64_t last_event;	  /* newest one passed on */
+	uint64_t events;
+	int64_t last_event_us;
+	bool ended; /* the endpoint has sent the end */
+	struct move move;
+};
+
+/* Sends the request to an endpoint; resume_from as in struct attempt. */
+void request_send(struct request *r, struct target *t, const char *resume_from,
+		  int64_t now);
+
+/*
+ * Chooses an endpoint but `except`, as near as possible to the data centre
+ * `near`; NULL if none has room.  *any tells whether one serves at all.
+ */
+struct target *request_choose(struct request *r, const char *except,
+			      const char *near, bool *any, int64_t now);
+
+/* Takes the request off its endpoint's counts; its fetch is cancelled. */
+void request_detach(struct request *r);
+
+/* Answers with an error of our own, and frees the request. */
+void request_refuse(struct request *r, int err, const char *why, int64_t now);
+
+/* Frees a request whose caller is answered or gone. */
+void request_free(struct request *r);
+
+void request_log(struct request *r, const char *kind, const char *outcome,
+		 int64_t now);
+
+/* Counts the memory that it is expected to need anew. */
+void request_count(struct request *r, int64_t now);
+
+/* ---- relay.c ---- */
+void relay_begin(struct request *r, int64_t now);
+void relay_data(struct request *r, const char *p, size_t n, int64_t now);
+/* The endpoint's answer has ended, whole or broken off. */
+void relay_done(struct request *r, bool whole, const char *why, int64_t now);
+/* The caller has read what was kept back. */
+void relay_drained(struct request *r, int64_t now);
+/* Breaks the stream off, visibly for the caller, and frees the request. */
+void relay_abort(struct request *r, const char *why, int64_t now);
+
+/* ---- move.c ---- */
+void move_begin(struct request *r, int64_t now);
+/* The stream at the source has ended; true if the move goes on. */
+bool move_source_ended(struct request *r, int64_t now);
+/* The target has answered with events. */
+void move_complete(struct request *r, int64_t now);
+/* The target refused or failed; true if another way is tried. */
+bool move_failed(struct request *r, int64_t now);
+/* Ends the orders of a request that is freed, and frees its copies. */
+void move_release(struct request *r);
+
+#endif
--- a/src/net/fetch.c
+++ b/src/net/fetch.c
@@ -342,10 +342,11 @@
 
 static void set_method(struct fetch *f, const struct fetch_spec *spec)
 {
-	int repeatable = (spec->flags & FETCH_REPEATABLE) ||
-			 !strcmp(spec->method, "GET") ||
-			 !strcmp(spec->method, "HEAD") ||
-			 !strcmp(spec->method, "DELETE");
+	int repeatable = !(spec->flags & FETCH_FRESH) &&
+			 ((spec->flags & FETCH_REPEATABLE) ||
+			  !strcmp(spec->method, "GET") ||
+			  !strcmp(spec->method, "HEAD") ||
+			  !strcmp(spec->method, "DELETE"));
 
 	if (!strcmp(spec->method, "POST") || spec->body_len) {
 		curl_easy_setopt(f->easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -439,3 +440,14 @@
 		return NULL;
 	return h->value;
 }
+
+void fetch_each_header(struct fetch *f,
+		       void (*fn)(const char *name, const char *value,
+				  void *arg),
+		       void *arg)
+{
+	struct curl_header *h = NULL;
+
+	while ((h = curl_easy_nextheader(f->easy, CURLH_HEADER, -1, h)))
+		fn(h->name, h->value, arg);
+}
--- a/src/net/fetch.h
+++ b/src/net/fetch.h
@@ -45,6 +45,7 @@
 };
 
 #define FETCH_REPEATABLE 1u /* may be sent again on another connection */
+#define FETCH_FRESH 2u	    /* on a connection of its own, also for GET */
 
 struct fetch_spec {
 	const char *method;
@@ -80,4 +81,10 @@
 /* A header of the answer (any case), or NULL; from `headers` to `done`. */
 const char *fetch_header(struct fetch *f, const char *name);
 
+/* Calls fn for each header of the answer; from `headers` to `done`. */
+void fetch_each_header(struct fetch *f,
+		       void (*fn)(const char *name, const char *value,
+				  void *arg),
+		       void *arg);
+
 #endif
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -400,6 +400,8 @@
 		c->max_stream = DEFAULT_MAX_STREAM;
 	if (!c->max_conns)
 		c->max_conns = DEFAULT_MAX_CONNS;
+	if (!c->conn_memory)
+		c->conn_memory = CONN_MEMORY_BYTES;
 	if (!c->idle_timeout_s)
 		c->idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S;
 }
@@ -428,7 +430,7 @@
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
 		on_access, h, MHD_OPTION_LISTEN_SOCKET, fd,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)h->cfg.max_conns,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONN_MEMORY_BYTES,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, h->cfg.conn_memory,
 		MHD_OPTION_CONNECTION_TIMEOUT,
 		(unsigned int)h->cfg.idle_timeout_s,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
@@ -523,6 +525,31 @@
 	return MHD_lookup_connection_value(req->conn, MHD_HEADER_KIND, name);
 }
 
+struct header_walk {
+	void (*fn)(const char *name, const char *value, void *arg);
+	void *arg;
+};
+
+static enum MHD_Result on_each(void *cls, enum MHD_ValueKind kind,
+			       const char *name, const char *value)
+{
+	struct header_walk *w = cls;
+
+	(void)kind;
+	w->fn(name, value ? value : "", w->arg);
+	return MHD_YES;
+}
+
+void httpd_each_header(const struct httpd_req *req,
+		       void (*fn)(const char *name, const char *value,
+				  void *arg),
+		       void *arg)
+{
+	struct header_walk w = {.fn = fn, .arg = arg};
+
+	MHD_get_connection_values(req->conn, MHD_HEADER_KIND, on_each, &w);
+}
+
 const char *httpd_body(const struct httpd_req *req, size_t *len)
 {
 	if (len)
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -34,6 +34,7 @@
 	int max_conns;	    /* connections; 0: 4096 */
 	int sndbuf;	    /* SO_SNDBUF in bytes; 0: the system's */
 	int idle_timeout_s; /* without traffic in either direction; 0: 120 */
+	size_t conn_memory; /* of a connection, holds its headers; 0: 16 KiB */
 };
 
 struct httpd_req_ops {
@@ -78,6 +79,11 @@
 const char *httpd_query(const struct httpd_req *req, const char *name);
 /* A request header (name in any case), or NULL. */
 const char *httpd_header(const struct httpd_req *req, const char *name);
+/* Calls fn for each header of the request, in order. */
+void httpd_each_header(const struct httpd_req *req,
+		       void (*fn)(const char *name, const char *value,
+				  void *arg),
+		       void *arg);
 /* The body, followed by a NUL byte that is not counted in *len. */
 const char *httpd_body(const struct httpd_req *req, size_t *len);
 
--- /dev/null
+++ b/src/policy/registry.c
@@ -0,0 +1,173 @@
+#include "policy/registry.h"
+
+#include <string.h>
+
+struct registry {
+	GHashTable *rows; /* id to struct registry_row */
+};
+
+static Mw__EndpointInfo *copy_info(const Mw__EndpointInfo *info)
+{
+	size_t len = mw__endpoint_info__get_packed_size(info);
+	g_autofree uint8_t *bytes = g_malloc(len + 1);
+
+	mw__endpoint_info__pack(info, bytes);
+	return mw__endpoint_info__unpack(NULL, len, bytes);
+}
+
+static void row_free(void *p)
+{
+	struct registry_row *row = p;
+
+	mw__endpoint_info__free_unpacked(row->info, NULL);
+	g_free(row);
+}
+
+struct registry *registry_new(void)
+{
+	struct registry *r = g_new0(struct registry, 1);
+
+	r->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
+	return r;
+}
+
+void registry_free(struct registry *r)
+{
+	if (!r)
+		return;
+	g_hash_table_destroy(r->rows);
+	g_free(r);
+}
+
+static bool is_newer(const Mw__EndpointInfo *a, const Mw__EndpointInfo *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->seq > b->seq;
+}
+
+static bool same_models(const Mw__EndpointInfo *a, const Mw__EndpointInfo *b)
+{
+	if (a->n_models != b->n_models)
+		return false;
+	for (size_t i = 0; i < a->n_models; i++)
+		if (strcmp(a->models[i], b->models[i]) != 0)
+			return false;
+	return true;
+}
+
+static bool says_the_same(const Mw__EndpointInfo *a, const Mw__EndpointInfo *b)
+{
+	return a->incarnation == b->incarnation && !strcmp(a->addr, b->addr) &&
+	       !strcmp(a->state, b->state) && !strcmp(a->dc, b->dc) &&
+	       a->max_batch == b->max_batch && same_models(a, b);
+}
+
+/* Whether another endpoint with a higher incarnation has this address. */
+static bool address_taken(const struct registry *r,
+			  const Mw__EndpointInfo *info)
+{
+	GHashTableIter iter;
+	struct registry_row *row;
+
+	g_hash_table_iter_init(&iter, r->rows);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		if (strcmp(row->info->id, info->id) != 0 &&
+		    !strcmp(row->info->addr, info->addr) &&
+		    row->info->incarnation > info->incarnation)
+			return true;
+	return false;
+}
+
+/* Endpoints that had the address before are gone. */
+static void take_address(struct registry *r, const Mw__EndpointInfo *info)
+{
+	GHashTableIter iter;
+	struct registry_row *row;
+
+	g_hash_table_iter_init(&iter, r->rows);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		if (strcmp(row->info->id, info->id) != 0 &&
+		    !strcmp(row->info->addr, info->addr) &&
+		    row->info->incarnation < info->incarnation)
+			row->left = true;
+}
+
+static void set_state(Mw__EndpointInfo *info, const char *state)
+{
+	if (!strcmp(info->state, state))
+		return;
+	if (info->state != protobuf_c_empty_string)
+		free(info->state);
+	info->state = strdup(state);
+}
+
+enum registry_change registry_take(struct registry *r,
+				   const Mw__EndpointInfo *info, int64_t now)
+{
+	struct registry_row *row = g_hash_table_lookup(r->rows, info->id);
+	bool same;
+
+	if (row && !is_newer(info, row->info))
+		return REGISTRY_OLD;
+	if (row && row->left && row->info->incarnation == info->incarnation)
+		return REGISTRY_OLD;
+	if (address_taken(r, info))
+		return REGISTRY_OLD;
+	same = row && says_the_same(info, row->info);
+	if (row)
+		g_hash_table_remove(r->rows, info->id);
+	row = g_new0(struct registry_row, 1);
+	row->info = copy_info(info);
+	row->heard_us = now;
+	row->left = info->leave_deadline_ms == REGISTRY_GONE_MS;
+	g_hash_table_insert(r->rows, row->info->id, row);
+	take_address(r, row->info);
+	return same ? REGISTRY_BEAT : REGISTRY_CHANGED;
+}
+
+const struct registry_row *registry_leave(struct registry *r, const char *id,
+					  int64_t now)
+{
+	struct registry_row *row = g_hash_table_lookup(r->rows, id);
+
+	if (!row)
+		return NULL;
+	/* The highest seq: nothing of this incarnation comes after it. */
+	row->info->seq = UINT64_MAX;
+	row->info->leave_deadline_ms = REGISTRY_GONE_MS;
+	set_state(row->info, REGISTRY_LEAVING);
+	row->left = true;
+	row->heard_us = now;
+	return row;
+}
+
+const struct registry_row *registry_find(const struct registry *r,
+					 const char *id)
+{
+	return g_hash_table_lookup(r->rows, id);
+}
+
+void registry_each(const struct registry *r,
+		   void (*fn)(const struct registry_row *row, void *arg),
+		   void *arg)
+{
+	GHashTableIter iter;
+	struct registry_row *row;
+
+	g_hash_table_iter_init(&iter, r->rows);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		fn(row, arg);
+}
+
+void registry_expire(struct registry *r, int64_t now)
+{
+	GHashTableIter iter;
+	struct registry_row *row;
+
+	g_hash_table_iter_init(&iter, r->rows);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		if (now - row->heard_us > REGISTRY_DROP_US)
+			g_hash_table_iter_remove(&iter);
+}
--- a/src/rep/rep.c
+++ b/src/rep/rep.c
@@ -146,6 +146,11 @@
 	return 0;
 }
 
+bool rep_first_voters(const struct rep *r)
+{
+	return r->vote.joined && r->voters_index == 1;
+}
+
 void rep_tick(struct rep *r, int64_t now)
 {
 	r->now = now;
@@ -435,6 +440,18 @@
 	return r->role == REP_LEADER && r->commit >= r->term_start;
 }
 
+void rep_probe(struct rep *r, int64_t now)
+{
+	r->now = now;
+	if (r->role == REP_LEADER)
+		rep_send_heartbeats(r);
+}
+
+int64_t rep_confirmed_us(const struct rep *r)
+{
+	return r->role == REP_LEADER ? rep_quorum_acked(r) : 0;
+}
+
 int64_t rep_lease_until(const struct rep *r)
 {
 	int64_t acked;
--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -21,7 +21,7 @@
 
 #define REP_MAX_VOTERS 9 /* 7, one joining and one spare */
 #define REP_ADDR_SIZE 64
-#define REP_MAX_ENTRY (512u << 10) /* bytes of one proposal */
+#define REP_MAX_ENTRY (3u << 20)   /* bytes of one proposal */
 #define REP_MAX_BATCH (256u << 10) /* a message ends after the entry that */
 #define REP_MAX_BATCH_ENTRIES 1024 /* reaches one of these two */
 #define REP_CHUNK (256u << 10)	   /* bytes of one snapshot chunk */
@@ -270,6 +270,9 @@
 /* The newest voter list is committed; no add or replace is under way. */
 bool rep_voters_settled(const struct rep *r);
 
+/* The voters in force are those of the bootstrap: no list is in the log. */
+bool rep_first_voters(const struct rep *r);
+
 /* Leader with a committed entry of its own term: its state is complete. */
 bool rep_leader_ready(const struct rep *r);
 
@@ -280,6 +283,18 @@
 bool rep_lease_valid(const struct rep *r, int64_t now);
 int64_t rep_lease_until(const struct rep *r);
 
+/*
+ * As leader, sends heartbeats now, so that rep_confirmed_us() rises.
+ */
+void rep_probe(struct rep *r, int64_t now);
+
+/*
+ * The newest time at which a message left that a majority has acknowledged:
+ * no other leader had been elected by then, so the log held everything that
+ * was committed.  0 without leadership, INT64_MAX for a group of one.
+ */
+int64_t rep_confirmed_us(const struct rep *r);
+
 /* Term of the entry at index, 0 if it is not in memory. */
 uint64_t rep_term_at(const struct rep *r, uint64_t index);
 
--- a/src/state/gen_schema.awk
+++ b/src/state/gen_schema.awk
@@ -3,10 +3,10 @@
 
 BEGIN {
 	FS = "|"
-	nk = split("account rank route endpoint model dc system operator", kinds, " ")
-	split("accounts ranks routes endpoints models dcs system operators", dirs, " ")
+	nk = split("account rank route endpoint model dc system operator document", kinds, " ")
+	split("accounts ranks routes endpoints models dcs system operators documents", dirs, " ")
 	# Greatest number of path segments below the top folder.
-	split("7 1 7 7 1 1 0 1", below, " ")
+	split("7 1 7 7 1 1 0 1 1", below, " ")
 	for (i = 1; i <= nk; i++)
 		known[kinds[i]] = i
 }
--- a/src/state/schema.gen.c
+++ b/src/state/schema.gen.c
@@ -503,6 +503,27 @@
 	},
 };
 
+static const struct schema_key document_keys[] = {
+	{
+		.name = "revision",
+		.type = SCHEMA_INT,
+		.min = INT64_C(0), .max = INT64_C(9007199254740991),
+		.def_int = INT64_C(0), .def = "",
+		.offset = offsetof(struct document_cfg, revision),
+		.unit = "",
+		.text = "Number that its operator gave it; only a higher one replaces it",
+	},
+	{
+		.name = "body",
+		.type = SCHEMA_STRING,
+		.min = INT64_C(0), .max = INT64_C(2097152),
+		.def = "",
+		.offset = offsetof(struct document_cfg, body),
+		.unit = "",
+		.text = "Text of a document that is published as a whole",
+	},
+};
+
 const struct schema_kind_info schema_kinds[SCHEMA_KIND_COUNT] = {
 	[SCHEMA_ACCOUNT] = {
 		.name = "account", .folder = "accounts",
@@ -552,6 +573,12 @@
 		.keys = operator_keys, .nkeys = 2,
 		.cfg_size = sizeof(struct operator_cfg),
 	},
+	[SCHEMA_DOCUMENT] = {
+		.name = "document", .folder = "documents",
+		.below = 1,
+		.keys = document_keys, .nkeys = 2,
+		.cfg_size = sizeof(struct document_cfg),
+	},
 };
 
 bool account_cfg_equal(const struct account_cfg *a,
@@ -601,3 +628,9 @@
 {
 	return schema_cfg_equal(SCHEMA_OPERATOR, a, b);
 }
+
+bool document_cfg_equal(const struct document_cfg *a,
+			const struct document_cfg *b)
+{
+	return schema_cfg_equal(SCHEMA_DOCUMENT, a, b);
+}
--- a/src/state/schema.gen.h
+++ b/src/state/schema.gen.h
@@ -14,6 +14,7 @@
 	SCHEMA_DC,
 	SCHEMA_SYSTEM,
 	SCHEMA_OPERATOR,
+	SCHEMA_DOCUMENT,
 	SCHEMA_KIND_COUNT
 };
 
@@ -152,6 +153,15 @@
 	bool may_write;
 };
 
+/* Resolved settings; strings belong to the tree. */
+struct document_cfg {
+	const char *name; /* path below the top folder */
+	/* Number that its operator gave it; only a higher one replaces it */
+	int64_t revision;
+	/* Text of a document that is published as a whole */
+	const char *body;
+};
+
 bool account_cfg_equal(const struct account_cfg *a,
 			const struct account_cfg *b);
 bool rank_cfg_equal(const struct rank_cfg *a,
@@ -168,5 +178,7 @@
 			const struct system_cfg *b);
 bool operator_cfg_equal(const struct operator_cfg *a,
 			const struct operator_cfg *b);
+bool document_cfg_equal(const struct document_cfg *a,
+			const struct document_cfg *b);
 
 #endif
--- a/src/state/tree.h
+++ b/src/state/tree.h
@@ -21,8 +21,8 @@
  */
 struct tree;
 
-#define TREE_JSON_MAX (512 * 1024) /* bytes of the JSON form */
-#define TREE_DEPTH_MAX 8	   /* segments of a path */
+#define TREE_JSON_MAX (3 << 20) /* bytes of the JSON form */
+#define TREE_DEPTH_MAX 8	/* segments of a path */
 #define TREE_NODES_MAX 20000
 #define TREE_PATH_MAX 255    /* bytes of a path */
 #define TREE_EDITS_MAX 20000 /* edits of one change */
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -22,7 +22,7 @@
  * is true, which is after the first later frame.
  */
 
-#define FRAME_MAX_BYTES (1 << 20) /* payload */
+#define FRAME_MAX_BYTES (4 << 20) /* payload */
 #define FRAME_KEY_BYTES 32
 #define FRAME_MAC_BYTES 16
 #define FRAME_NONCE_BYTES 16
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -1807,6 +1807,321 @@
   assert(message->base.descriptor == &mw__bootstrap_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__roster__init
+                     (Mw__Roster         *message)
+{
+  static const Mw__Roster init_value = MW__ROSTER__INIT;
+  *message = init_value;
+}
+size_t mw__roster__get_packed_size
+                     (const Mw__Roster *message)
+{
+  assert(message->base.descriptor == &mw__roster__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__roster__pack
+                     (const Mw__Roster *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__roster__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__roster__pack_to_buffer
+                     (const Mw__Roster *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__roster__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__Roster *
+       mw__roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__Roster *)
+     protobuf_c_message_unpack (&mw__roster__descriptor,
+                                allocator, len, data);
+}
+void   mw__roster__free_unpacked
+                     (Mw__Roster *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__roster__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__tree_news__init
+                     (Mw__TreeNews         *message)
+{
+  static const Mw__TreeNews init_value = MW__TREE_NEWS__INIT;
+  *message = init_value;
+}
+size_t mw__tree_news__get_packed_size
+                     (const Mw__TreeNews *message)
+{
+  assert(message->base.descriptor == &mw__tree_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__tree_news__pack
+                     (const Mw__TreeNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__tree_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__tree_news__pack_to_buffer
+                     (const Mw__TreeNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__tree_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__TreeNews *
+       mw__tree_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__TreeNews *)
+     protobuf_c_message_unpack (&mw__tree_news__descriptor,
+                                allocator, len, data);
+}
+void   mw__tree_news__free_unpacked
+                     (Mw__TreeNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__tree_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__endpoint_rows__init
+                     (Mw__EndpointRows         *message)
+{
+  static const Mw__EndpointRows init_value = MW__ENDPOINT_ROWS__INIT;
+  *message = init_value;
+}
+size_t mw__endpoint_rows__get_packed_size
+                     (const Mw__EndpointRows *message)
+{
+  assert(message->base.descriptor == &mw__endpoint_rows__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__endpoint_rows__pack
+                     (const Mw__EndpointRows *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__endpoint_rows__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__endpoint_rows__pack_to_buffer
+                     (const Mw__EndpointRows *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__endpoint_rows__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__EndpointRows *
+       mw__endpoint_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__EndpointRows *)
+     protobuf_c_message_unpack (&mw__endpoint_rows__descriptor,
+                                allocator, len, data);
+}
+void   mw__endpoint_rows__free_unpacked
+                     (Mw__EndpointRows *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__endpoint_rows__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__use_row__init
+                     (Mw__UseRow         *message)
+{
+  static const Mw__UseRow init_value = MW__USE_ROW__INIT;
+  *message = init_value;
+}
+size_t mw__use_row__get_packed_size
+                     (const Mw__UseRow *message)
+{
+  assert(message->base.descriptor == &mw__use_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__use_row__pack
+                     (const Mw__UseRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__use_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__use_row__pack_to_buffer
+                     (const Mw__UseRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__use_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__UseRow *
+       mw__use_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__UseRow *)
+     protobuf_c_message_unpack (&mw__use_row__descriptor,
+                                allocator, len, data);
+}
+void   mw__use_row__free_unpacked
+                     (Mw__UseRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__use_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__repeat_row__init
+                     (Mw__RepeatRow         *message)
+{
+  static const Mw__RepeatRow init_value = MW__REPEAT_ROW__INIT;
+  *message = init_value;
+}
+size_t mw__repeat_row__get_packed_size
+                     (const Mw__RepeatRow *message)
+{
+  assert(message->base.descriptor == &mw__repeat_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__repeat_row__pack
+                     (const Mw__RepeatRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__repeat_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__repeat_row__pack_to_buffer
+                     (const Mw__RepeatRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__repeat_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__RepeatRow *
+       mw__repeat_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__RepeatRow *)
+     protobuf_c_message_unpack (&mw__repeat_row__descriptor,
+                                allocator, len, data);
+}
+void   mw__repeat_row__free_unpacked
+                     (Mw__RepeatRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__repeat_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__use_report__init
+                     (Mw__UseReport         *message)
+{
+  static const Mw__UseReport init_value = MW__USE_REPORT__INIT;
+  *message = init_value;
+}
+size_t mw__use_report__get_packed_size
+                     (const Mw__UseReport *message)
+{
+  assert(message->base.descriptor == &mw__use_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__use_report__pack
+                     (const Mw__UseReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__use_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__use_report__pack_to_buffer
+                     (const Mw__UseReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__use_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__UseReport *
+       mw__use_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__UseReport *)
+     protobuf_c_message_unpack (&mw__use_report__descriptor,
+                                allocator, len, data);
+}
+void   mw__use_report__free_unpacked
+                     (Mw__UseReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__use_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mw__use_totals__init
+                     (Mw__UseTotals         *message)
+{
+  static const Mw__UseTotals init_value = MW__USE_TOTALS__INIT;
+  *message = init_value;
+}
+size_t mw__use_totals__get_packed_size
+                     (const Mw__UseTotals *message)
+{
+  assert(message->base.descriptor == &mw__use_totals__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__use_totals__pack
+                     (const Mw__UseTotals *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__use_totals__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__use_totals__pack_to_buffer
+                     (const Mw__UseTotals *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__use_totals__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__UseTotals *
+       mw__use_totals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__UseTotals *)
+     protobuf_c_message_unpack (&mw__use_totals__descriptor,
+                                allocator, len, data);
+}
+void   mw__use_totals__free_unpacked
+                     (Mw__UseTotals *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__use_totals__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__demand__init
                      (Mw__Demand         *message)
 {
@@ -6712,7 +7027,7 @@
   (ProtobufCMessageInit) mw__bootstrap_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__bootstrap_state__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mw__bootstrap_state__field_descriptors[5] =
 {
   {
     "joined",
@@ -6750,16 +7065,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "voters",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__BootstrapState, n_voters),
+    offsetof(Mw__BootstrapState, voters),
+    &mw__rep_voter__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__BootstrapState, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__bootstrap_state__field_indices_by_name[] = {
+  4,   /* field[4] = first */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = joined */
   1,   /* field[1] = known */
+  3,   /* field[3] = voters */
 };
 static const ProtobufCIntRange mw__bootstrap_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mw__bootstrap_state__descriptor =
 {
@@ -6769,60 +7110,469 @@
   "Mw__BootstrapState",
   "mw",
   sizeof(Mw__BootstrapState),
-  3,
+  5,
   mw__bootstrap_state__field_descriptors,
   mw__bootstrap_state__field_indices_by_name,
   1,  mw__bootstrap_state__number_ranges,
   (ProtobufCMessageInit) mw__bootstrap_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__demand__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mw__roster__field_descriptors[1] =
 {
   {
-    "model",
+    "controls",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Demand, model),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rank",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Demand, rank),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Roster, n_controls),
+    offsetof(Mw__Roster, controls),
+    &mw__host_info__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned mw__roster__field_indices_by_name[] = {
+  0,   /* field[0] = controls */
+};
+static const ProtobufCIntRange mw__roster__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mw__roster__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.Roster",
+  "Roster",
+  "Mw__Roster",
+  "mw",
+  sizeof(Mw__Roster),
+  1,
+  mw__roster__field_descriptors,
+  mw__roster__field_indices_by_name,
+  1,  mw__roster__number_ranges,
+  (ProtobufCMessageInit) mw__roster__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__tree_news__field_descriptors[1] =
+{
   {
-    "blocks",
-    3,
+    "version",
+    1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mw__Demand, blocks),
+    offsetof(Mw__TreeNews, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "held",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mw__Demand, held),
-    NULL,
-    NULL,
+};
+static const unsigned mw__tree_news__field_indices_by_name[] = {
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange mw__tree_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mw__tree_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.TreeNews",
+  "TreeNews",
+  "Mw__TreeNews",
+  "mw",
+  sizeof(Mw__TreeNews),
+  1,
+  mw__tree_news__field_descriptors,
+  mw__tree_news__field_indices_by_name,
+  1,  mw__tree_news__number_ranges,
+  (ProtobufCMessageInit) mw__tree_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__endpoint_rows__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__EndpointRows, n_rows),
+    offsetof(Mw__EndpointRows, rows),
+    &mw__endpoint_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__endpoint_rows__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange mw__endpoint_rows__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.EndpointRows",
+  "EndpointRows",
+  "Mw__EndpointRows",
+  "mw",
+  sizeof(Mw__EndpointRows),
+  1,
+  mw__endpoint_rows__field_descriptors,
+  mw__endpoint_rows__field_indices_by_name,
+  1,  mw__endpoint_rows__number_ranges,
+  (ProtobufCMessageInit) mw__endpoint_rows__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, streams),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, prefill),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__use_row__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  3,   /* field[3] = prefill */
+  1,   /* field[1] = streams */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange mw__use_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mw__use_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.UseRow",
+  "UseRow",
+  "Mw__UseRow",
+  "mw",
+  sizeof(Mw__UseRow),
+  4,
+  mw__use_row__field_descriptors,
+  mw__use_row__field_indices_by_name,
+  1,  mw__use_row__number_ranges,
+  (ProtobufCMessageInit) mw__use_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__repeat_row__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__RepeatRow, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__RepeatRow, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__RepeatRow, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__repeat_row__field_indices_by_name[] = {
+  2,   /* field[2] = repeats */
+  1,   /* field[1] = requests */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange mw__repeat_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mw__repeat_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.RepeatRow",
+  "RepeatRow",
+  "Mw__RepeatRow",
+  "mw",
+  sizeof(Mw__RepeatRow),
+  3,
+  mw__repeat_row__field_descriptors,
+  mw__repeat_row__field_indices_by_name,
+  1,  mw__repeat_row__number_ranges,
+  (ProtobufCMessageInit) mw__repeat_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[5] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseReport, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseReport, n_rows),
+    offsetof(Mw__UseReport, rows),
+    &mw__use_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseReport, n_repeats),
+    offsetof(Mw__UseReport, repeats),
+    &mw__repeat_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__use_report__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
+  4,   /* field[4] = repeats */
+  3,   /* field[3] = rows */
+  2,   /* field[2] = seq */
+};
+static const ProtobufCIntRange mw__use_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mw__use_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.UseReport",
+  "UseReport",
+  "Mw__UseReport",
+  "mw",
+  sizeof(Mw__UseReport),
+  5,
+  mw__use_report__field_descriptors,
+  mw__use_report__field_indices_by_name,
+  1,  mw__use_report__number_ranges,
+  (ProtobufCMessageInit) mw__use_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__use_totals__field_descriptors[3] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseTotals, n_rows),
+    offsetof(Mw__UseTotals, rows),
+    &mw__use_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseTotals, n_repeats),
+    offsetof(Mw__UseTotals, repeats),
+    &mw__repeat_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hosts",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseTotals, hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__use_totals__field_indices_by_name[] = {
+  2,   /* field[2] = hosts */
+  1,   /* field[1] = repeats */
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange mw__use_totals__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mw__use_totals__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.UseTotals",
+  "UseTotals",
+  "Mw__UseTotals",
+  "mw",
+  sizeof(Mw__UseTotals),
+  3,
+  mw__use_totals__field_descriptors,
+  mw__use_totals__field_indices_by_name,
+  1,  mw__use_totals__number_ranges,
+  (ProtobufCMessageInit) mw__use_totals__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__demand__field_descriptors[5] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Demand, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Demand, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocks",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Demand, blocks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__Demand, held),
+    NULL,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -7602,7 +8352,7 @@
   (ProtobufCMessageInit) mw__hub_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__endpoint_info__field_descriptors[19] =
+static const ProtobufCFieldDescriptor mw__endpoint_info__field_descriptors[20] =
 {
   {
     "id",
@@ -7832,6 +8582,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__EndpointInfo, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__endpoint_info__field_indices_by_name[] = {
   8,   /* field[8] = adapters */
@@ -7839,6 +8601,7 @@
   11,   /* field[11] = block_tokens */
   10,   /* field[10] = blocks */
   15,   /* field[15] = blocks_used */
+  19,   /* field[19] = cold_ms */
   4,   /* field[4] = dc */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
@@ -7857,7 +8620,7 @@
 static const ProtobufCIntRange mw__endpoint_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor mw__endpoint_info__descriptor =
 {
@@ -7867,7 +8630,7 @@
   "Mw__EndpointInfo",
   "mw",
   sizeof(Mw__EndpointInfo),
-  19,
+  20,
   mw__endpoint_info__field_descriptors,
   mw__endpoint_info__field_indices_by_name,
   1,  mw__endpoint_info__number_ranges,
@@ -8527,7 +9290,7 @@
   (ProtobufCMessageInit) mw__admin_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__frame__field_descriptors[30] =
+static const ProtobufCFieldDescriptor mw__frame__field_descriptors[35] =
 {
   {
     "seq",
@@ -8889,6 +9652,66 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "roster",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, roster),
+    &mw__roster__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tree_news",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, tree_news),
+    &mw__tree_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_rows",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, endpoint_rows),
+    &mw__endpoint_rows__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "use_report",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, use_report),
+    &mw__use_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "use_totals",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, use_totals),
+    &mw__use_totals__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__frame__field_indices_by_name[] = {
   20,   /* field[20] = ack */
@@ -8901,6 +9724,7 @@
   21,   /* field[21] = cache_events */
   24,   /* field[24] = crash_mark */
   25,   /* field[25] = endpoint_get */
+  32,   /* field[32] = endpoint_rows */
   7,   /* field[7] = grant */
   5,   /* field[5] = hello */
   1,   /* field[1] = hlc */
@@ -8914,19 +9738,23 @@
   6,   /* field[6] = renew */
   15,   /* field[15] = rep */
   3,   /* field[3] = reply */
+  30,   /* field[30] = roster */
   2,   /* field[2] = rpc */
   0,   /* field[0] = seq */
   28,   /* field[28] = spill_ask */
   29,   /* field[29] = spill_loan */
   4,   /* field[4] = target */
   11,   /* field[11] = tree_get */
+  31,   /* field[31] = tree_news */
   12,   /* field[12] = tree_snapshot */
+  33,   /* field[33] = use_report */
+  34,   /* field[34] = use_totals */
 };
 static const ProtobufCIntRange mw__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 30 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor mw__frame__descriptor =
 {
@@ -8936,7 +9764,7 @@
   "Mw__Frame",
   "mw",
   sizeof(Mw__Frame),
-  30,
+  35,
   mw__frame__field_descriptors,
   mw__frame__field_indices_by_name,
   2,  mw__frame__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -55,6 +55,13 @@
 typedef struct Mw__RepMsg Mw__RepMsg;
 typedef struct Mw__BootstrapGet Mw__BootstrapGet;
 typedef struct Mw__BootstrapState Mw__BootstrapState;
+typedef struct Mw__Roster Mw__Roster;
+typedef struct Mw__TreeNews Mw__TreeNews;
+typedef struct Mw__EndpointRows Mw__EndpointRows;
+typedef struct Mw__UseRow Mw__UseRow;
+typedef struct Mw__RepeatRow Mw__RepeatRow;
+typedef struct Mw__UseReport Mw__UseReport;
+typedef struct Mw__UseTotals Mw__UseTotals;
 typedef struct Mw__Demand Mw__Demand;
 typedef struct Mw__AccountUse Mw__AccountUse;
 typedef struct Mw__EndpointUse Mw__EndpointUse;
@@ -937,10 +944,139 @@
    */
   protobuf_c_boolean known;
   uint64_t incarnation;
+  /*
+   * of the group, if joined
+   */
+  size_t n_voters;
+  Mw__RepVoter **voters;
+  /*
+   * these are the voters that the group began with
+   */
+  protobuf_c_boolean first;
 };
 #define MW__BOOTSTRAP_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__bootstrap_state__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0 }
+
+
+/*
+ * Control processes that the sender is connected with, and itself.
+ */
+struct  Mw__Roster
+{
+  ProtobufCMessage base;
+  size_t n_controls;
+  Mw__HostInfo **controls;
+};
+#define MW__ROSTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__roster__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * The sender has applied this version of the tree.
+ */
+struct  Mw__TreeNews
+{
+  ProtobufCMessage base;
+  uint64_t version;
+};
+#define MW__TREE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__tree_news__descriptor) \
+    , 0 }
+
+
+/*
+ * Rows of the endpoint registry; newer rows replace older ones by id.
+ */
+struct  Mw__EndpointRows
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Mw__EndpointInfo **rows;
+};
+#define MW__ENDPOINT_ROWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__endpoint_rows__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Work of one entry host, or of all, on one endpoint.
+ */
+struct  Mw__UseRow
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  /*
+   * requests that are open there
+   */
+  uint32_t streams;
+  /*
+   * memory that they are expected to need
+   */
+  uint64_t tokens;
+  /*
+   * prompt tokens sent and not answered yet
+   */
+  uint64_t prefill;
+};
+#define MW__USE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__use_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Requests for a service and repeats sent to it since the host started.
+ */
+struct  Mw__RepeatRow
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t requests;
+  uint64_t repeats;
+};
+#define MW__REPEAT_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__repeat_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Work of one entry host; a report replaces the one before.
+ */
+struct  Mw__UseReport
+{
+  ProtobufCMessage base;
+  char *host;
+  uint64_t incarnation;
+  uint64_t seq;
+  size_t n_rows;
+  Mw__UseRow **rows;
+  size_t n_repeats;
+  Mw__RepeatRow **repeats;
+};
+#define MW__USE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__use_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * Sums over all entry hosts but the receiver.
+ */
+struct  Mw__UseTotals
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Mw__UseRow **rows;
+  size_t n_repeats;
+  Mw__RepeatRow **repeats;
+  /*
+   * entry hosts heard of, the receiver included
+   */
+  uint32_t hosts;
+};
+#define MW__USE_TOTALS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__use_totals__descriptor) \
+    , 0,NULL, 0,NULL, 0 }
 
 
 struct  Mw__Demand
@@ -1169,10 +1305,14 @@
    * time left at a reclaim notice, 0 if none
    */
   uint64_t leave_deadline_ms;
+  /*
+   * how much longer it is slow after its start
+   */
+  uint32_t cold_ms;
 };
 #define MW__ENDPOINT_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__endpoint_info__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -1374,7 +1514,12 @@
   MW__FRAME__BODY_BOOTSTRAP_GET = 31,
   MW__FRAME__BODY_BOOTSTRAP_STATE = 32,
   MW__FRAME__BODY_SPILL_ASK = 33,
-  MW__FRAME__BODY_SPILL_LOAN = 34
+  MW__FRAME__BODY_SPILL_LOAN = 34,
+  MW__FRAME__BODY_ROSTER = 35,
+  MW__FRAME__BODY_TREE_NEWS = 36,
+  MW__FRAME__BODY_ENDPOINT_ROWS = 37,
+  MW__FRAME__BODY_USE_REPORT = 38,
+  MW__FRAME__BODY_USE_TOTALS = 39
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__FRAME__BODY__CASE)
 } Mw__Frame__BodyCase;
 
@@ -1422,6 +1567,11 @@
     Mw__BootstrapState *bootstrap_state;
     Mw__SpillAsk *spill_ask;
     Mw__SpillLoan *spill_loan;
+    Mw__Roster *roster;
+    Mw__TreeNews *tree_news;
+    Mw__EndpointRows *endpoint_rows;
+    Mw__UseReport *use_report;
+    Mw__UseTotals *use_totals;
   };
 };
 #define MW__FRAME__INIT \
@@ -2189,6 +2339,139 @@
 void   mw__bootstrap_state__free_unpacked
                      (Mw__BootstrapState *message,
                       ProtobufCAllocator *allocator);
+/* Mw__Roster methods */
+void   mw__roster__init
+                     (Mw__Roster         *message);
+size_t mw__roster__get_packed_size
+                     (const Mw__Roster   *message);
+size_t mw__roster__pack
+                     (const Mw__Roster   *message,
+                      uint8_t             *out);
+size_t mw__roster__pack_to_buffer
+                     (const Mw__Roster   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__Roster *
+       mw__roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__roster__free_unpacked
+                     (Mw__Roster *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__TreeNews methods */
+void   mw__tree_news__init
+                     (Mw__TreeNews         *message);
+size_t mw__tree_news__get_packed_size
+                     (const Mw__TreeNews   *message);
+size_t mw__tree_news__pack
+                     (const Mw__TreeNews   *message,
+                      uint8_t             *out);
+size_t mw__tree_news__pack_to_buffer
+                     (const Mw__TreeNews   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__TreeNews *
+       mw__tree_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__tree_news__free_unpacked
+                     (Mw__TreeNews *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__EndpointRows methods */
+void   mw__endpoint_rows__init
+                     (Mw__EndpointRows         *message);
+size_t mw__endpoint_rows__get_packed_size
+                     (const Mw__EndpointRows   *message);
+size_t mw__endpoint_rows__pack
+                     (const Mw__EndpointRows   *message,
+                      uint8_t             *out);
+size_t mw__endpoint_rows__pack_to_buffer
+                     (const Mw__EndpointRows   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__EndpointRows *
+       mw__endpoint_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__endpoint_rows__free_unpacked
+                     (Mw__EndpointRows *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__UseRow methods */
+void   mw__use_row__init
+                     (Mw__UseRow         *message);
+size_t mw__use_row__get_packed_size
+                     (const Mw__UseRow   *message);
+size_t mw__use_row__pack
+                     (const Mw__UseRow   *message,
+                      uint8_t             *out);
+size_t mw__use_row__pack_to_buffer
+                     (const Mw__UseRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__UseRow *
+       mw__use_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__use_row__free_unpacked
+                     (Mw__UseRow *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__RepeatRow methods */
+void   mw__repeat_row__init
+                     (Mw__RepeatRow         *message);
+size_t mw__repeat_row__get_packed_size
+                     (const Mw__RepeatRow   *message);
+size_t mw__repeat_row__pack
+                     (const Mw__RepeatRow   *message,
+                      uint8_t             *out);
+size_t mw__repeat_row__pack_to_buffer
+                     (const Mw__RepeatRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__RepeatRow *
+       mw__repeat_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__repeat_row__free_unpacked
+                     (Mw__RepeatRow *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__UseReport methods */
+void   mw__use_report__init
+                     (Mw__UseReport         *message);
+size_t mw__use_report__get_packed_size
+                     (const Mw__UseReport   *message);
+size_t mw__use_report__pack
+                     (const Mw__UseReport   *message,
+                      uint8_t             *out);
+size_t mw__use_report__pack_to_buffer
+                     (const Mw__UseReport   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__UseReport *
+       mw__use_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__use_report__free_unpacked
+                     (Mw__UseReport *message,
+                      ProtobufCAllocator *allocator);
+/* Mw__UseTotals methods */
+void   mw__use_totals__init
+                     (Mw__UseTotals         *message);
+size_t mw__use_totals__get_packed_size
+                     (const Mw__UseTotals   *message);
+size_t mw__use_totals__pack
+                     (const Mw__UseTotals   *message,
+                      uint8_t             *out);
+size_t mw__use_totals__pack_to_buffer
+                     (const Mw__UseTotals   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__UseTotals *
+       mw__use_totals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__use_totals__free_unpacked
+                     (Mw__UseTotals *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__Demand methods */
 void   mw__demand__init
                      (Mw__Demand         *message);
@@ -2653,6 +2936,27 @@
 typedef void (*Mw__BootstrapState_Closure)
                  (const Mw__BootstrapState *message,
                   void *closure_data);
+typedef void (*Mw__Roster_Closure)
+                 (const Mw__Roster *message,
+                  void *closure_data);
+typedef void (*Mw__TreeNews_Closure)
+                 (const Mw__TreeNews *message,
+                  void *closure_data);
+typedef void (*Mw__EndpointRows_Closure)
+                 (const Mw__EndpointRows *message,
+                  void *closure_data);
+typedef void (*Mw__UseRow_Closure)
+                 (const Mw__UseRow *message,
+                  void *closure_data);
+typedef void (*Mw__RepeatRow_Closure)
+                 (const Mw__RepeatRow *message,
+                  void *closure_data);
+typedef void (*Mw__UseReport_Closure)
+                 (const Mw__UseReport *message,
+                  void *closure_data);
+typedef void (*Mw__UseTotals_Closure)
+                 (const Mw__UseTotals *message,
+                  void *closure_data);
 typedef void (*Mw__Demand_Closure)
                  (const Mw__Demand *message,
                   void *closure_data);
@@ -2753,6 +3057,13 @@
 extern const ProtobufCMessageDescriptor mw__rep_msg__descriptor;
 extern const ProtobufCMessageDescriptor mw__bootstrap_get__descriptor;
 extern const ProtobufCMessageDescriptor mw__bootstrap_state__descriptor;
+extern const ProtobufCMessageDescriptor mw__roster__descriptor;
+extern const ProtobufCMessageDescriptor mw__tree_news__descriptor;
+extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
+extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
+extern const ProtobufCMessageDescriptor mw__repeat_row__descriptor;
+extern const ProtobufCMessageDescriptor mw__use_report__descriptor;
+extern const ProtobufCMessageDescriptor mw__use_totals__descriptor;
 extern const ProtobufCMessageDescriptor mw__demand__descriptor;
 extern const ProtobufCMessageDescriptor mw__account_use__descriptor;
 extern const ProtobufCMessageDescriptor mw__endpoint_use__descriptor;
