forward: Go on from continuous copies; end idle connections at shutdown

Cause: generations whose endpoint was reclaimed were cut: a copy on order takes longer than the notice when an endpoint runs several.

Change: generations that last have a continuous copy at another endpoint, and go on there; the source goes on until the target has answered. Endpoints that an entry host hears of only on change no longer count as silent there.

--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -280,6 +280,12 @@
 	}
 }
 
+static void on_stale(const struct registry_row *row, void *arg)
+{
+	log_row(row->info, "silence");
+	pass_on(arg, row->info, true, false);
+}
+
 void ctl_feed_tick(struct ctl_feed *f, int64_t now)
 {
 	if (now - f->totals_us >= TOTALS_INTERVAL_US) {
@@ -288,6 +294,6 @@
 	}
 	if (now - f->expired_us >= EXPIRE_INTERVAL_US) {
 		f->expired_us = now;
-		registry_expire(f->registry, now);
+		registry_expire(f->registry, now, on_stale, f);
 	}
 }
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -6,6 +6,12 @@
 #include "forward/request.h"
 #include "obs/slog.h"
 
+/*
+ * Endpoints that are reclaimed together announce it within this time; their
+ * generations are moved after it, so that none goes to another of them.
+ */
+#define LEAVE_SETTLE_US (40 * USEC_PER_MSEC)
+
 /* After a failure an endpoint is avoided, twice as long each time. */
 #define AVOID_MIN_US (250 * USEC_PER_MSEC)
 #define AVOID_MAX_US (4 * USEC_PER_SEC)
@@ -90,7 +96,6 @@
 	g_strlcpy(t->dc, info->dc, sizeof(t->dc));
 	g_strlcpy(t->service, service_of(info), sizeof(t->service));
 	t->slots = info->max_batch;
-	t->heard_us = now;
 	t->left = row->left;
 	bool serving = !row->left && !strcmp(info->state, REGISTRY_SERVING);
 	if (serving == t->serving)
@@ -106,7 +111,7 @@
 	slog_int(&l, "open_here", t->open);
 	slog_end(&l);
 	if (leaves)
-		move_target(f, t, now);
+		t->leaving_us = now + LEAVE_SETTLE_US;
 	else
 		request_pump(f, now);
 }
@@ -211,7 +216,11 @@
 	GHashTableIter iter;
 	struct target *t;
 
-	registry_expire(f->registry, now);
+	registry_expire(f->registry, now, NULL, NULL);
+	g_hash_table_iter_init(&iter, f->targets);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&t))
+		if (t->leaving_us && now >= t->leaving_us)
+			move_target(f, t, now);
 	g_hash_table_iter_init(&iter, f->targets);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&t))
 		if (!t->open && !registry_find(f->registry, t->id))
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -48,6 +48,13 @@
 	int64_t since = now - f->drain_us;
 	int64_t limit = f->conf->drain_timeout_ms * USEC_PER_MSEC;
 
+	if (since >= MIN(UNREADY_US, limit)) {
+		if (!f->quiet)
+			httpd_quiesce(f->callers);
+		f->quiet = true;
+		/* Also those whose last request has just ended. */
+		httpd_close_idle(f->callers);
+	}
 	if (since < limit && (f->n_requests || since < MIN(UNREADY_US, limit)))
 		return;
 	struct slog l = slog_begin("stop");
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -45,7 +45,6 @@
 	unsigned int slots;
 	bool serving;
 	bool left; /* its address may belong to another one */
-	int64_t heard_us;
 	/* Own work. */
 	struct list requests; /* struct request, by target_node */
 	unsigned int open;
@@ -53,6 +52,7 @@
 	/* Work of the other hosts, as of the last totals. */
 	unsigned int others_open;
 	uint64_t others_tokens, others_prefill;
+	int64_t leaving_us; /* its generations are moved then, 0: not at all */
 	/* Failures. */
 	int64_t avoid_until_us;
 	unsigned int failures;
@@ -104,6 +104,7 @@
 	ev_signal sigterm, sigint, sighup;
 	bool draining;
 	int64_t drain_us; /* when the shutdown began */
+	bool quiet;	  /* no new connections are taken */
 };
 
 int fwd_new(struct conf *conf, struct ev_loop *loop, const struct iface *iface,
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -8,16 +8,19 @@
 #include "obs/slog.h"
 
 /*
- * Generations whose endpoint leaves go on at another one, which gets a copy of
- * their memory.  The load that this answers: endpoints are reclaimed with two
- * seconds of notice while generations run for ten.
+ * Generations whose endpoint leaves or breaks off go on at another one, which
+ * has a copy of their memory.  The load that this answers: endpoints are
+ * reclaimed with two seconds of notice while generations run for ten.
  *
- * A copy takes about 0.2 s, more than the pause that a caller may notice.  So
- * the memory is copied first while the generation goes on (MOVE_COPY); then
- * the generation stops and only what is new is copied (MOVE_STOP); then the
- * same request is sent to the target, which continues from the copy
- * (MOVE_RESUME).  If the endpoint is gone before that, the target continues
- * from the first copy and reads again what it lacks.
+ * Most generations have a continuous copy (X-backup), which lacks the last
+ * tokens only: the request is sent to the endpoint that keeps it, while the
+ * source goes on until the target has answered, so that a refusal costs
+ * nothing.  The source must not go on for long beside the target.
+ *
+ * The others are copied on order.  A copy takes about 0.2 s, more than the
+ * pause that a caller may notice.  So the memory is copied while the
+ * generation goes on (MOVE_COPY); then the generation stops and only what is
+ * new is copied (MOVE_STOP); then the target goes on (MOVE_RESUME).
  */
 
 /* An order is answered when the copy is complete; a full endpoint's memory
@@ -25,83 +28,214 @@
 #define ORDER_TIMEOUT_MS 5000
 
 /* Targets that are tried for one generation. */
-#define TARGETS_MAX 3
+#define TARGETS_MAX 4
+
+/* The source is stopped after this although the target has not answered: two
+ * endpoints may work on one request for 400 ms. */
+#define OVERLAP_US (250 * USEC_PER_MSEC)
+
+/* A continuous copy is complete this long after it began: the prompt is read
+ * (0.5 s), and sent (0.3 s) beside other copies. */
+#define BACKUP_READY_US (900 * USEC_PER_MSEC)
+
+/* A young generation's copy is waited for at most this long; the notice is
+ * 1.5 s or more. */
+#define WAIT_MAX_US (700 * USEC_PER_MSEC)
 
 static void order(struct request *r, bool last);
+static void another_way(struct request *r, int64_t now);
 
 static void log_move(struct request *r, const char *outcome, int64_t now)
 {
-	static const char *const names[] = {"none", "copy", "ready", "stop",
-					    "resume"};
+	static const char *const names[] = {"none", "wait",  "copy",
+					    "stop", "ready", "resume"};
 	struct slog l = slog_begin("move");
 
 	slog_str(&l, "request", r->ask.id);
 	slog_str(&l, "step", names[r->move.state]);
 	slog_str(&l, "source", r->move.source);
-	slog_str(&l, "target", r->move.target);
+	slog_str(&l, "target", r->move.target.endpoint);
+	slog_int(&l, "from_backup", r->move.from_backup);
 	slog_str(&l, "outcome", outcome);
-	slog_int(&l, "order_status", r->move.status);
+	slog_int(&l, "status", r->move.status);
 	slog_int(&l, "since_us", now - r->move.began_us);
+	slog_int(&l, "copy_age_us", now - r->backup_us);
 	slog_int(&l, "events", (int64_t)r->events);
 	slog_end(&l);
 }
 
-/* Counts the copy at the target, so that nobody else takes the room. */
-static void reserve(struct request *r, int sign)
+/* Whether the generation is still made by the source. */
+static bool at_source(const struct request *r)
 {
-	struct target *t = endpoints_target(r->fwd, r->move.target);
+	return r->fetch != NULL;
+}
 
-	if (!t)
-		return;
-	t->open += (unsigned int)sign;
-	t->tokens += (uint64_t)((int64_t)r->move.reserved * sign);
-	r->fwd->use_changed = true;
+/* ---- going on at the target ---- */
+
+static void give_up(struct request *r, int64_t now)
+{
+	log_move(r, "given up", now);
+	request_drop_copy(r, &r->move.target);
+	r->move.state = MOVE_NONE;
+	if (!at_source(r))
+		relay_abort(r, "the generation could not be moved", now);
+}
+
+static void resume_at(struct request *r, struct target *t, int64_t now)
+{
+	const char *backup = request_begin_backup(r, &r->move.next_backup, t,
+						  now);
+
+	log_move(r, "resume", now);
+	r->move.state = MOVE_RESUME;
+	r->move.due_us = now + OVERLAP_US;
+	r->move.next = request_fetch(r, t, r->move.handle, backup, now);
 }
 
-static void unreserve(struct request *r)
+static void resume(struct request *r, int64_t now)
+{
+	struct target *t = endpoints_target(r->fwd, r->move.target.endpoint);
+
+	if (t && t->incarnation == r->move.target.incarnation)
+		resume_at(r, t, now);
+	else
+		another_way(r, now);
+}
+
+bool move_answered(struct request *r, int status, bool whole, int64_t now)
 {
-	if (!r->move.reserved)
+	const char *id = r->move.at_source ? r->move.source
+					   : r->move.target.endpoint;
+	struct target *t = endpoints_target(r->fwd, id);
+
+	r->move.status = status;
+	if (status != 200 || !whole || !t)
+		return false;
+	log_move(r, "done", now);
+	struct fetch *next = r->move.next;
+	r->move.next = NULL;
+	request_detach(r); /* ends the run at the source */
+	request_drop_copy(r, &r->move.target);
+	request_attach(r, t);
+	r->fetch = next;
+	request_drop_copy(r, &r->backup);
+	r->backup = r->move.next_backup;
+	r->move.next_backup = (struct copy){0};
+	r->backup_us = now;
+	/* Part of an event comes again from the target. */
+	buf_consume(&r->event, buf_unread(&r->event));
+	r->state = REQUEST_STREAM;
+	r->move.state = MOVE_NONE;
+	r->move.handle[0] = '\0';
+	r->move.at_source = false;
+	if (!t->serving)
+		move_begin(r, now);
+	return true;
+}
+
+void move_refused(struct request *r, int64_t now)
+{
+	struct target *source = endpoints_target(r->fwd, r->move.source);
+
+	log_move(r, "refused", now);
+	request_drop_copy(r, &r->move.next_backup);
+	if (at_source(r) || r->move.from_backup || r->move.at_source ||
+	    !source) {
+		another_way(r, now);
 		return;
-	reserve(r, -1);
-	r->move.reserved = 0;
+	}
+	/* The source keeps the memory of a generation that it stopped. */
+	r->move.at_source = true;
+	resume_at(r, source, now);
 }
 
+/* ---- ways ---- */
+
 static bool choose_target(struct request *r, int64_t now)
 {
 	bool any;
 	struct target *source = endpoints_target(r->fwd, r->move.source);
-	struct target *t = request_choose(r, r->move.target,
-					  source ? source->dc : "", &any, now);
+	g_autofree char *last = g_strdup(r->move.target.endpoint);
+	struct target *t;
 
+	request_drop_copy(r, &r->move.target);
+	t = request_choose(r, last, source ? source->dc : "", &any, now);
 	if (!t || !strcmp(t->id, r->move.source))
 		return false;
-	g_strlcpy(r->move.target, t->id, sizeof(r->move.target));
 	g_strlcpy(r->move.target_addr, t->addr, sizeof(r->move.target_addr));
-	r->move.reserved = MAX(r->need_tokens, 1u);
-	reserve(r, 1);
+	request_take_copy(r, &r->move.target, t);
 	return true;
 }
 
-void move_begin(struct request *r, int64_t now)
+/* The memory is copied on order; only the source can do that. */
+static void copy_on_order(struct request *r, int64_t now)
 {
-	const struct target *source = endpoints_target(r->fwd, r->target);
-
-	if (!source || r->move.state != MOVE_NONE || !r->service->moves ||
-	    !r->generation || r->ended)
+	r->move.from_backup = false;
+	r->move.handle[0] = '\0';
+	if (!at_source(r) || !r->service->moves ||
+	    ++r->move.tries > TARGETS_MAX || !choose_target(r, now)) {
+		give_up(r, now);
 		return;
+	}
+	r->move.state = MOVE_COPY;
+	order(r, false);
+}
+
+static void another_way(struct request *r, int64_t now)
+{
+	request_drop_copy(r, &r->move.target);
+	copy_on_order(r, now);
+}
+
+static struct target *backup_target(struct request *r)
+{
+	struct target *t = endpoints_target(r->fwd, r->backup.endpoint);
+
+	return t && t->serving && t->incarnation == r->backup.incarnation
+		       ? t
+		       : NULL;
+}
+
+static void go_on_from_backup(struct request *r, struct target *t, int64_t now)
+{
+	r->move.from_backup = true;
+	snprintf(r->move.handle, sizeof(r->move.handle), "%s/%s", t->addr,
+		 r->ask.id);
+	request_drop_copy(r, &r->move.target);
+	request_take_copy(r, &r->move.target, t);
+	resume_at(r, t, now);
+}
+
+static void begin(struct request *r, const struct target *source, int64_t now)
+{
 	g_strlcpy(r->move.source, source->id, sizeof(r->move.source));
 	g_strlcpy(r->move.source_addr, source->addr,
 		  sizeof(r->move.source_addr));
-	r->move.target[0] = '\0';
 	r->move.handle[0] = '\0';
+	r->move.at_source = false;
 	r->move.tries = 0;
+	r->move.status = 0;
 	r->move.began_us = now;
-	if (!choose_target(r, now)) {
-		log_move(r, "no target has room", now);
+}
+
+void move_begin(struct request *r, int64_t now)
+{
+	const struct target *source = endpoints_target(r->fwd, r->target);
+	struct target *t = backup_target(r);
+
+	if (!source || r->move.state != MOVE_NONE || !r->generation ||
+	    r->ended)
 		return;
+	begin(r, source, now);
+	if (!t) {
+		copy_on_order(r, now);
+	} else if (now - r->backup_us < BACKUP_READY_US) {
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = MIN(r->backup_us + BACKUP_READY_US,
+				     now + WAIT_MAX_US);
+	} else {
+		go_on_from_backup(r, t, now);
 	}
-	r->move.state = MOVE_COPY;
-	order(r, false);
 }
 
 void move_target(struct fwd *f, struct target *t, int64_t now)
@@ -109,6 +243,7 @@
 	struct list *pos, *tmp;
 
 	(void)f;
+	t->leaving_us = 0;
 	list_for_each_safe (pos, tmp, &t->requests) {
 		struct request *r =
 			list_entry(pos, struct request, target_node);
@@ -117,37 +252,55 @@
 	}
 }
 
-static void resume(struct request *r, int64_t now)
+void move_tick(struct request *r, int64_t now)
 {
-	struct target *t = endpoints_target(r->fwd, r->move.target);
+	struct target *t;
 
-	log_move(r, "resume", now);
-	request_detach(r);
-	unreserve(r);
-	r->state = REQUEST_PAUSED;
-	r->move.state = MOVE_RESUME;
-	if (!t) {
-		relay_abort(r, "target of the move is gone", now);
+	if (now < r->move.due_us)
 		return;
+	if (r->move.state == MOVE_WAIT) {
+		t = backup_target(r);
+		if (t)
+			go_on_from_backup(r, t, now);
+		else
+			copy_on_order(r, now);
+	} else if (r->move.state == MOVE_RESUME && at_source(r)) {
+		/* The target is slow; it goes on alone. */
+		request_detach(r);
+		r->state = REQUEST_PAUSED;
 	}
-	request_send(r, t, r->move.handle, now);
 }
 
-/* Another target, or the end of the attempt to move. */
-static void next_target(struct request *r, int64_t now)
+bool move_source_ended(struct request *r, int64_t now)
 {
-	unreserve(r);
-	if (++r->move.tries < TARGETS_MAX && choose_target(r, now)) {
-		r->move.state = MOVE_COPY;
-		order(r, false);
-		return;
+	const struct target *source = endpoints_target(r->fwd, r->target);
+	struct target *t = backup_target(r);
+
+	if (r->move.state == MOVE_COPY || r->move.state == MOVE_STOP ||
+	    r->move.state == MOVE_RESUME) {
+		/* The order or the target answers later. */
+		r->state = REQUEST_PAUSED;
+		request_detach(r);
+		return true;
 	}
-	log_move(r, "given up", now);
-	r->move.state = MOVE_NONE;
-	if (r->state == REQUEST_PAUSED)
-		relay_abort(r, "the generation could not be moved", now);
+	if (r->move.state == MOVE_READY) {
+		r->state = REQUEST_PAUSED;
+		request_detach(r);
+		resume(r, now);
+		return true;
+	}
+	if (!t || !source || !r->generation)
+		return false;
+	begin(r, source, now);
+	log_move(r, "source broke off", now);
+	r->state = REQUEST_PAUSED;
+	request_detach(r);
+	go_on_from_backup(r, t, now);
+	return true;
 }
 
+/* ---- orders ---- */
+
 static void on_order_data(void *arg, struct fetch *fetch, const char *p,
 			  size_t n)
 {
@@ -163,17 +316,15 @@
 	snprintf(r->move.handle, sizeof(r->move.handle), "%s/%s",
 		 r->move.source_addr, a->handle);
 	log_move(r, "copied", now);
-	if (r->move.state == MOVE_COPY) {
+	if (!at_source(r)) {
+		resume(r, now);
+	} else if (r->move.state == MOVE_COPY) {
 		r->move.state = MOVE_STOP;
-		if (r->state == REQUEST_PAUSED) /* the source is gone already */
-			resume(r, now);
-		else
-			order(r, true);
-		return;
+		order(r, true);
+	} else {
+		/* The stream ends once its last events have arrived. */
+		r->move.state = MOVE_READY;
 	}
-	r->move.state = MOVE_READY;
-	if (r->state == REQUEST_PAUSED)
-		resume(r, now);
 }
 
 static void on_order_done(void *arg, struct fetch *fetch,
@@ -185,7 +336,7 @@
 	int err = -MW_EIO;
 
 	(void)fetch;
-	r->move.fetch = NULL;
+	r->move.order = NULL;
 	r->move.status = res->status;
 	if (res->err == FETCH_OK)
 		err = r->fwd->iface->move_answer(
@@ -196,18 +347,15 @@
 		return;
 	}
 	log_move(r, err_info(err)->kind, now);
-	if (r->move.state == MOVE_STOP) {
-		/* The first copy is there; the source may be gone. */
+	if (*r->move.handle) {
+		/* The first copy is there, whatever became of the source. */
 		r->move.state = MOVE_READY;
-		if (r->state == REQUEST_PAUSED)
+		if (!at_source(r))
 			resume(r, now);
-		return;
-	}
-	if (err == -MW_EAGAIN)
-		next_target(r, now);
-	else {
-		r->move.tries = TARGETS_MAX;
-		next_target(r, now);
+	} else if (err == -MW_EAGAIN) {
+		copy_on_order(r, now);
+	} else {
+		give_up(r, now);
 	}
 }
 
@@ -236,51 +384,7 @@
 				  .connect_timeout_ms = 300,
 				  .timeout_ms = ORDER_TIMEOUT_MS};
 	buf_consume(&r->move.reply, buf_unread(&r->move.reply));
-	r->move.fetch = fetch_start(f->fetcher, &spec, &order_ops, r);
-}
-
-bool move_source_ended(struct request *r, int64_t now)
-{
-	switch (r->move.state) {
-	case MOVE_COPY:
-		/* The copy may be complete although the source is gone. */
-		r->state = REQUEST_PAUSED;
-		return true;
-	case MOVE_STOP:
-		r->state = REQUEST_PAUSED;
-		return true;
-	case MOVE_READY:
-		r->state = REQUEST_PAUSED;
-		resume(r, now);
-		return true;
-	default:
-		return false;
-	}
-}
-
-void move_complete(struct request *r, int64_t now)
-{
-	log_move(r, "done", now);
-	r->move.state = MOVE_NONE;
-	r->move.handle[0] = '\0';
-	/* The new endpoint may be leaving as well by now. */
-	struct target *t = endpoints_target(r->fwd, r->target);
-	if (t && !t->serving)
-		move_begin(r, now);
-}
-
-bool move_failed(struct request *r, int64_t now)
-{
-	struct target *source = endpoints_target(r->fwd, r->move.source);
-
-	log_move(r, "target refused", now);
-	if (r->move.tries >= TARGETS_MAX || !source)
-		return false;
-	r->move.tries = TARGETS_MAX;
-	request_detach(r);
-	/* The source keeps the memory of a generation that it stopped. */
-	request_send(r, source, r->move.handle, now);
-	return true;
+	r->move.order = fetch_start(f->fetcher, &spec, &order_ops, r);
 }
 
 static void on_freed(void *arg, struct fetch *f, const struct fetch_result *res)
@@ -292,16 +396,13 @@
 
 static const struct fetch_ops free_ops = {.done = on_freed};
 
-void move_release(struct request *r)
+/* A copy on order that nothing uses takes memory until it expires. */
+static void free_copy(struct request *r)
 {
 	struct fwd *f = r->fwd;
 	const char *handle = strrchr(r->move.handle, '/');
 
-	if (r->move.fetch)
-		fetch_cancel(r->move.fetch);
-	unreserve(r);
-	buf_release(&r->move.reply);
-	if (!handle || r->move.state == MOVE_RESUME)
+	if (!handle || r->move.from_backup)
 		return;
 	g_autofree char *path = f->iface->free_copy(handle + 1);
 	g_autofree char *url =
@@ -313,3 +414,16 @@
 				  .flags = FETCH_FRESH};
 	fetch_start(f->fetcher, &spec, &free_ops, NULL);
 }
+
+void move_release(struct request *r)
+{
+	if (r->move.order)
+		fetch_cancel(r->move.order);
+	if (r->move.next)
+		fetch_cancel(r->move.next);
+	if (r->move.state != MOVE_NONE)
+		free_copy(r);
+	request_drop_copy(r, &r->move.target);
+	request_drop_copy(r, &r->move.next_backup);
+	buf_release(&r->move.reply);
+}
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -1,7 +1,10 @@
 #include "forward/place.h"
 
-/* Prompt tokens that an engine reads in a millisecond (deployments: 14). */
-#define READ_TOKENS_PER_MS 14
+/*
+ * Prompt tokens that an engine reads in a millisecond beside its generations:
+ * it reads 112 tokens in 8 ms and then makes a token for each in 7 ms or more.
+ */
+#define READ_TOKENS_PER_MS 7
 
 /*
  * Part of the slots and of the memory that less urgent work may fill, percent.
@@ -68,7 +71,6 @@
 {
 	enum place_result result = PLACE_NONE;
 	int64_t best = 0;
-	bool best_silent = true;
 
 	for (size_t i = 0; i < n; i++) {
 		const struct place_target *t = &targets[i];
@@ -81,18 +83,47 @@
 			continue;
 		}
 		int64_t c = cost(t, ask);
-		bool better = result != PLACE_OK ||
-			      (best_silent && !t->silent) ||
-			      (best_silent == t->silent &&
-			       (c < best ||
-				(c == best && t->tie < targets[*index].tie)));
-		if (!better ||
-		    (result == PLACE_OK && !best_silent && t->silent))
+		if (result == PLACE_OK &&
+		    (c > best || (c == best && t->tie >= targets[*index].tie)))
 			continue;
 		result = PLACE_OK;
 		best = c;
-		best_silent = t->silent;
 		*index = i;
 	}
 	return result;
 }
+
+/*
+ * Memory that may be taken once a copy is added, percent.  Endpoints are
+ * reclaimed a sixth at a time, so what is left must take their work as well.
+ */
+#define BACKUP_PERCENT 72
+
+/* A copy to another data centre takes twice as long; percent of a memory. */
+#define BACKUP_FAR_PERCENT 25
+
+bool place_backup(const struct place_target *targets, size_t n,
+		  uint64_t need_tokens, size_t *index)
+{
+	uint64_t best = 0;
+	bool found = false;
+
+	for (size_t i = 0; i < n; i++) {
+		const struct place_target *t = &targets[i];
+		uint64_t after = t->tokens + need_tokens;
+		uint64_t rank;
+
+		if (!t->usable || t->excluded ||
+		    after > t->memory_tokens * BACKUP_PERCENT / 100)
+			continue;
+		rank = after + (t->distance ? t->memory_tokens *
+						      BACKUP_FAR_PERCENT / 100
+					    : 0);
+		if (found && rank >= best)
+			continue;
+		found = true;
+		best = rank;
+		*index = i;
+	}
+	return found;
+}
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -49,4 +49,13 @@
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_ask *ask, size_t *index);
 
+/*
+ * Which endpoint keeps a copy of a generation's memory, so that the generation
+ * goes on there when its endpoint leaves or fails.  A copy takes memory from
+ * new work, so only endpoints with much of it left are chosen.  Returns false
+ * if there is none.
+ */
+bool place_backup(const struct place_target *targets, size_t n,
+		  uint64_t need_tokens, size_t *index);
+
 #endif
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -84,6 +84,7 @@
 {
 	uint64_t id;
 
+	request_prompt_read(r);
 	if (event_id(p, n, &id)) {
 		if (r->events && id <= r->last_event)
 			return;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -36,12 +36,24 @@
 #define RETURN_SPREAD_US (2600 * USEC_PER_MSEC)
 #define RETURN_CALL_US (200 * USEC_PER_MSEC)
 
+/* The account's rank goes before that of the route, which has these values. */
+#define ROUTE_RANKS 3
+
+/* Time that an engine takes for a token beside some others, microseconds. */
+#define TOKEN_US 10000
+
 /* Less time than this is of no use to an endpoint. */
 #define LEFT_MIN_US (10 * USEC_PER_MSEC)
 
 /* Memory is forecast for a length that is exceeded once in three times. */
 #define NEED_QUANTILE 0.66
 
+/*
+ * A generation that is expected to make fewer tokens ends within the notice
+ * that a leaving endpoint gives; 100 tokens take about a second.
+ */
+#define BACKUP_MIN_TOKENS 100
+
 static void on_closed(void *arg, struct httpd_req *http);
 static void on_drained(void *arg, struct httpd_req *http);
 
@@ -106,7 +118,7 @@
 	r->need_tokens = need;
 }
 
-static void attach(struct request *r, struct target *t)
+void request_attach(struct request *r, struct target *t)
 {
 	g_strlcpy(r->target, t->id, sizeof(r->target));
 	r->incarnation = t->incarnation;
@@ -117,7 +129,7 @@
 	r->fwd->use_changed = true;
 }
 
-static void prefill_done(struct request *r)
+void request_prompt_read(struct request *r)
 {
 	struct target *t = endpoints_target(r->fwd, r->target);
 
@@ -155,6 +167,7 @@
 	struct fwd *f = r->fwd;
 
 	request_detach(r);
+	request_drop_copy(r, &r->backup);
 	move_release(r);
 	if (r->state == REQUEST_WAITING && r->wait_node.next != &r->wait_node)
 		f->n_waiting--;
@@ -177,7 +190,7 @@
 
 	if (!err_info(err)->resend && err != -MW_EAGAIN)
 		return 0;
-	if (r->generation)
+	if (r->generation && err != -MW_EDRAINING)
 		us = RETURN_MIN_US +
 		     (int64_t)(g_rand_double(r->fwd->rand) * RETURN_SPREAD_US);
 	return left > 0 ? MIN(us, left / 4) : us;
@@ -245,30 +258,36 @@
 	return strcmp(t->dc, dc) ? 2 : 0;
 }
 
-struct target *request_choose(struct request *r, const char *except,
-			      const char *near, bool *any, int64_t now)
+/* What place.c needs to know of the endpoints of the request's service. */
+struct choice {
+	struct place_target *list;
+	struct target **targets;
+	size_t n;
+};
+
+static void choice_release(struct choice *c)
+{
+	g_free(c->list);
+	g_free(c->targets);
+}
+
+static struct choice list_targets(struct request *r, const char *except,
+				  const char *near, int64_t now)
 {
 	struct fwd *f = r->fwd;
 	guint max = g_hash_table_size(f->targets);
-	g_autofree struct place_target *list =
-		g_new0(struct place_target, max + 1);
-	g_autofree struct target **targets = g_new0(struct target *, max + 1);
-	struct place_ask ask = {.generation = r->generation,
-				.urgent = r->route->aim_us < 2 * USEC_PER_SEC,
-				.prompt_tokens = r->ask.prompt_tokens,
-				.need_tokens = r->need_tokens};
+	struct choice c = {.list = g_new0(struct place_target, max + 1),
+			   .targets = g_new0(struct target *, max + 1)};
 	GHashTableIter iter;
 	struct target *t;
-	size_t n = 0, index = 0;
 
 	g_hash_table_iter_init(&iter, f->targets);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
 		if (strcmp(t->service, r->service->name) != 0)
 			continue;
-		targets[n] = t;
-		list[n++] = (struct place_target){
+		c.targets[c.n] = t;
+		c.list[c.n++] = (struct place_target){
 			.usable = t->serving && now >= t->avoid_until_us,
-			.silent = now - t->heard_us > REGISTRY_SILENT_US,
 			.excluded = !strcmp(t->id, except),
 			.distance = distance(near, t),
 			.slots = t->slots,
@@ -280,9 +299,63 @@
 			.tie = g_rand_int(f->rand),
 		};
 	}
-	enum place_result res = place_choose(list, n, &ask, &index);
+	return c;
+}
+
+struct target *request_choose(struct request *r, const char *except,
+			      const char *near, bool *any, int64_t now)
+{
+	struct place_ask ask = {.generation = r->generation,
+				.urgent = r->route->aim_us < 2 * USEC_PER_SEC,
+				.prompt_tokens = r->ask.prompt_tokens,
+				.need_tokens = r->need_tokens};
+	struct choice c = list_targets(r, except, near, now);
+	size_t index = 0;
+	enum place_result res = place_choose(c.list, c.n, &ask, &index);
+	struct target *t = res == PLACE_OK ? c.targets[index] : NULL;
+
 	*any = res != PLACE_NONE;
-	return res == PLACE_OK ? targets[index] : NULL;
+	choice_release(&c);
+	return t;
+}
+
+void request_take_copy(struct request *r, struct copy *c, struct target *t)
+{
+	g_strlcpy(c->endpoint, t->id, sizeof(c->endpoint));
+	c->incarnation = t->incarnation;
+	c->tokens = r->need_tokens;
+	t->tokens += c->tokens;
+	r->fwd->use_changed = true;
+}
+
+void request_drop_copy(struct request *r, struct copy *c)
+{
+	struct target *t = endpoints_target(r->fwd, c->endpoint);
+
+	if (t)
+		t->tokens -= c->tokens;
+	*c = (struct copy){0};
+	r->fwd->use_changed = true;
+}
+
+/* Only generations that last are worth a copy. */
+const char *request_begin_backup(struct request *r, struct copy *c,
+				 const struct target *source, int64_t now)
+{
+	size_t index = 0;
+
+	request_drop_copy(r, c);
+	if (!r->generation || !r->service->backups ||
+	    r->need_tokens < r->ask.prompt_tokens + BACKUP_MIN_TOKENS)
+		return NULL;
+	struct choice ch = list_targets(r, source->id, source->dc, now);
+	bool found = place_backup(ch.list, ch.n, r->need_tokens, &index);
+	struct target *t = found ? ch.targets[index] : NULL;
+	choice_release(&ch);
+	if (!t)
+		return NULL;
+	request_take_copy(r, c, t);
+	return t->addr;
 }
 
 static void wait_for_room(struct request *r)
@@ -317,7 +390,7 @@
 		list_del(&r->wait_node);
 		f->n_waiting--;
 	}
-	request_send(r, t, NULL, now);
+	request_send(r, t, now);
 	return true;
 }
 
@@ -358,6 +431,9 @@
 	struct request *r, *tmp;
 
 	request_pump(f, now);
+	list_for_each_entry_safe (r, tmp, &f->requests, node)
+		if (r->move.state != MOVE_NONE)
+			move_tick(r, now);
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
 		if (now - r->arrived_us >= wait_max_us(r))
 			request_refuse(r, -MW_EQUEUEFULL, "no room", now);
@@ -370,17 +446,16 @@
 	struct request *r = arg;
 	int64_t now = clock_mono_us();
 
+	if (fetch == r->move.next) {
+		struct answer a = r->fwd->iface->answer(fetch, status, &r->ask);
+		move_answered(r, status, a.whole && !a.crossed, now);
+		return;
+	}
 	r->status = status;
 	r->answer = r->fwd->iface->answer(fetch, status, &r->ask);
-	prefill_done(r);
 	if (r->answer.crossed || !r->answer.whole || status != 200 ||
 	    r->route->kind != PLAN_STREAM)
 		return;
-	if (r->state == REQUEST_PAUSED) {
-		move_complete(r, now);
-		r->state = REQUEST_STREAM;
-		return;
-	}
 	relay_begin(r, now);
 }
 
@@ -388,7 +463,8 @@
 {
 	struct request *r = arg;
 
-	(void)fetch;
+	if (fetch == r->move.next) /* the text of a refusal */
+		return;
 	if (r->state == REQUEST_STREAM) {
 		relay_data(r, p, n, clock_mono_us());
 		return;
@@ -475,16 +551,16 @@
 	struct request *r = arg;
 	int64_t now = clock_mono_us();
 
+	if (fetch == r->move.next) {
+		r->move.next = NULL;
+		move_refused(r, now);
+		return;
+	}
 	r->fetch = NULL;
 	if (r->state == REQUEST_STREAM) {
 		relay_done(r, res->err == FETCH_OK, res->text, now);
 		return;
 	}
-	if (r->state == REQUEST_PAUSED) {
-		if (!move_failed(r, now))
-			relay_abort(r, "resume failed", now);
-		return;
-	}
 	bool usable = res->err == FETCH_OK && r->answer.whole &&
 		      !r->answer.crossed && !r->answer.not_run &&
 		      !r->answer.other && !r->body_too_big;
@@ -508,14 +584,16 @@
 	.done = on_done,
 };
 
-void request_send(struct request *r, struct target *t, const char *resume_from,
-		  int64_t now)
+struct fetch *request_fetch(struct request *r, const struct target *t,
+			    const char *resume_from, const char *backup,
+			    int64_t now)
 {
 	struct fwd *f = r->fwd;
 	struct attempt a = {.endpoint = t->id,
 			    .account = r->account ? r->account->name : NULL,
 			    .rank = r->rank,
 			    .left_us = r->deadline_us - now,
+			    .backup = backup,
 			    .resume_from = resume_from,
 			    .last_event = r->last_event};
 	headers *h = f->iface->request_headers(r->http, &r->ask, &a);
@@ -532,13 +610,7 @@
 	g_ptr_array_add(h, NULL);
 	spec.headers = (const char *const *)h->pdata;
 	spec.body = httpd_body(r->http, &spec.body_len);
-	r->prefill = resume_from ? 0 : r->ask.prompt_tokens;
-	r->answer = (struct answer){0};
 	r->attempts++;
-	r->sent_us = now;
-	if (r->state != REQUEST_PAUSED)
-		r->state = REQUEST_SENT;
-	attach(r, t);
 	struct slog l = slog_routine("placed");
 	slog_str(&l, "request", r->ask.id);
 	slog_str(&l, "endpoint", t->id);
@@ -547,11 +619,27 @@
 	slog_int(&l, "tokens", (int64_t)(t->tokens + t->others_tokens));
 	slog_int(&l, "need", (int64_t)r->need_tokens);
 	slog_int(&l, "wait_us", now - r->arrived_us);
+	slog_int(&l, "prefill", (int64_t)(t->prefill + t->others_prefill));
+	if (backup)
+		slog_str(&l, "backup", backup);
 	if (resume_from)
 		slog_str(&l, "resume_from", resume_from);
 	slog_end(&l);
-	r->fetch = fetch_start(f->fetcher, &spec, &attempt_ops, r);
+	struct fetch *fetch = fetch_start(f->fetcher, &spec, &attempt_ops, r);
 	g_ptr_array_unref(h);
+	return fetch;
+}
+
+void request_send(struct request *r, struct target *t, int64_t now)
+{
+	const char *backup = request_begin_backup(r, &r->backup, t, now);
+
+	r->prefill = r->ask.prompt_tokens;
+	r->answer = (struct answer){0};
+	r->sent_us = r->backup_us = now;
+	r->state = REQUEST_SENT;
+	request_attach(r, t);
+	r->fetch = request_fetch(r, t, NULL, backup, now);
 }
 
 /* ---- admission ---- */
@@ -580,6 +668,21 @@
 	return r->service ? 0 : -MW_ENOENDPOINT;
 }
 
+/*
+ * A host that shuts down takes no generation that would outlast it: the caller
+ * loses less by asking another host now.
+ */
+static bool ends_in_time(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	int64_t end = f->drain_us +
+		      f->conf->drain_timeout_ms * USEC_PER_MSEC;
+	uint64_t output = r->need_tokens - r->ask.prompt_tokens;
+
+	return !f->draining || !r->generation ||
+	       now + r->route->aim_us / 2 + (int64_t)output * TOKEN_US < end;
+}
+
 static void set_times(struct request *r)
 {
 	int64_t limit = r->route->timeout_us;
@@ -616,12 +719,15 @@
 		request_refuse(r, err, why, now);
 		return;
 	}
-	r->rank = r->account && r->account->rank >= 0
-			  ? (unsigned int)r->account->rank
-			  : r->route->rank;
+	r->rank = r->route->rank;
+	if (r->account && r->account->rank > 0)
+		r->rank += (unsigned int)r->account->rank * ROUTE_RANKS;
 	r->generation = r->service->engine && r->ask.prompt_tokens;
 	set_times(r);
 	request_count(r, now);
 	budget_request(endpoints_budget(f, r->service->name));
-	place(r, now);
+	if (!ends_in_time(r, now))
+		request_refuse(r, -MW_EDRAINING, "shutting down", now);
+	else
+		place(r, now);
 }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -22,25 +22,37 @@
 
 enum move_state {
 	MOVE_NONE,
+	MOVE_WAIT,   /* for the copy of a young generation */
 	MOVE_COPY,   /* the memory is copied while the generation goes on */
-	MOVE_READY,  /* a copy is complete */
 	MOVE_STOP,   /* the generation stops, the rest is copied */
-	MOVE_RESUME, /* it goes on at the target */
+	MOVE_READY,  /* the copy is complete, the source's stream is not */
+	MOVE_RESUME, /* the request is sent to the target */
+};
+
+/* Where a copy of a generation's memory is, counted as work there. */
+struct copy {
+	char endpoint[128]; /* "" for none */
+	uint64_t incarnation;
+	uint64_t tokens;
 };
 
 struct move {
 	enum move_state state;
 	char source[128]; /* endpoint id */
 	char source_addr[64];
-	char target[128];
+	struct copy target;
 	char target_addr[64];
 	char handle[256]; /* "IP:PORT/HANDLE", "" before a copy is complete */
-	struct fetch *fetch; /* the order that is open */
+	bool from_backup; /* the handle is that of the continuous copy */
+	bool at_source;	  /* goes on at the source, from the stopped memory */
+	struct fetch *order; /* that is open */
+	struct fetch *next;  /* the request at the target */
+	struct copy next_backup; /* of the generation there */
 	struct buf reply;
 	int status;
 	unsigned int tries;
-	uint64_t reserved; /* memory counted at the target for the copy */
 	int64_t began_us;
+	int64_t due_us; /* next step of MOVE_WAIT or MOVE_RESUME */
 };
 
 struct request {
@@ -87,11 +99,23 @@
 	int64_t last_event_us;
 	bool ended; /* the endpoint has sent the end */
 	struct move move;
+	struct copy backup; /* continuous copy */
+	int64_t backup_us;  /* since when */
 };
 
-/* Sends the request to an endpoint; resume_from as in struct attempt. */
-void request_send(struct request *r, struct target *t, const char *resume_from,
-		  int64_t now);
+/* Sends the request to an endpoint that has room for it. */
+void request_send(struct request *r, struct target *t, int64_t now);
+
+/*
+ * Starts the transfer of one attempt; resume_from and backup as in struct
+ * attempt.
+ */
+struct fetch *request_fetch(struct request *r, const struct target *t,
+			    const char *resume_from, const char *backup,
+			    int64_t now);
+
+/* Counts the request at an endpoint. */
+void request_attach(struct request *r, struct target *t);
 
 /*
  * Chooses an endpoint but `except`, as near as possible to the data centre
@@ -112,6 +136,9 @@
 void request_log(struct request *r, const char *kind, const char *outcome,
 		 int64_t now);
 
+/* The endpoint has read the prompt: its first event is there. */
+void request_prompt_read(struct request *r);
+
 /* Counts the memory that it is expected to need anew. */
 void request_count(struct request *r, int64_t now);
 
@@ -125,14 +152,27 @@
 /* Breaks the stream off, visibly for the caller, and frees the request. */
 void relay_abort(struct request *r, const char *why, int64_t now);
 
+/* Counts a copy of the request's memory at an endpoint, and gives it up. */
+void request_take_copy(struct request *r, struct copy *c, struct target *t);
+void request_drop_copy(struct request *r, struct copy *c);
+
+/*
+ * Chooses an endpoint to keep a continuous copy of what runs at `source`, and
+ * counts it; returns its address, or NULL if there is no copy.
+ */
+const char *request_begin_backup(struct request *r, struct copy *c,
+				 const struct target *source, int64_t now);
+
 /* ---- move.c ---- */
+/* The endpoint leaves: begins to move the generation elsewhere. */
 void move_begin(struct request *r, int64_t now);
-/* The stream at the source has ended; true if the move goes on. */
+/* The stream at the source has broken off; true if it goes on elsewhere. */
 bool move_source_ended(struct request *r, int64_t now);
-/* The target has answered with events. */
-void move_complete(struct request *r, int64_t now);
-/* The target refused or failed; true if another way is tried. */
-bool move_failed(struct request *r, int64_t now);
+/* The target has answered; true if its events follow. */
+bool move_answered(struct request *r, int status, bool whole, int64_t now);
+/* The transfer from the target has ended without such an answer. */
+void move_refused(struct request *r, int64_t now);
+void move_tick(struct request *r, int64_t now);
 /* Ends the orders of a request that is freed, and frees its copies. */
 void move_release(struct request *r);
 
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -50,11 +50,18 @@
 	ev_timer timer;
 	ev_prepare prepare;
 	struct list reqs;
+	struct list conns; /* struct conn */
 	int open;
 	int port;
 	int due; /* MHD_run() is due in this turn of the loop */
 };
 
+struct conn {
+	struct list link;
+	int fd;
+	int open; /* requests on it */
+};
+
 enum req_state {
 	REQ_READING, /* the body is not complete */
 	REQ_OWNED,   /* handed to the handler, no answer yet */
@@ -78,6 +85,7 @@
 	struct MHD_Response *response; /* ready, not yet queued */
 	int status;
 	int fd;
+	struct conn *tcp;
 	ev_io close_watch;
 	enum req_state state;
 	unsigned suspended : 1;
@@ -158,6 +166,11 @@
 	req->close_watch.data = req;
 	list_add_tail(&h->reqs, &req->link);
 	h->open++;
+	req->tcp = MHD_get_connection_info(conn,
+					   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+			   ->socket_context;
+	if (req->tcp)
+		req->tcp->open++;
 	return req;
 }
 
@@ -175,6 +188,8 @@
 	req->suspended = 0;
 	req_gone(req);
 	req->h->open--;
+	if (req->tcp)
+		req->tcp->open--;
 	list_del(&req->link);
 	if (req->response)
 		MHD_destroy_response(req->response);
@@ -322,13 +337,23 @@
 	struct httpd *h = cls;
 	int one = 1;
 
-	(void)socket_context;
-	if (code != MHD_CONNECTION_NOTIFY_STARTED)
+	if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+		struct conn *tcp = *socket_context;
+		if (tcp) {
+			list_del(&tcp->link);
+			g_free(tcp);
+		}
+		*socket_context = NULL;
 		return;
+	}
 	int fd =
 		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
 			->connect_fd;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	struct conn *tcp = g_new0(struct conn, 1);
+	tcp->fd = fd;
+	list_add_tail(&h->conns, &tcp->link);
+	*socket_context = tcp;
 	if (h->cfg.sndbuf)
 		setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &h->cfg.sndbuf,
 			   sizeof(h->cfg.sndbuf));
@@ -426,6 +451,7 @@
 	h->ctx = ctx;
 	h->port = port;
 	list_init(&h->reqs);
+	list_init(&h->conns);
 	h->mhd = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
 		on_access, h, MHD_OPTION_LISTEN_SOCKET, fd,
@@ -463,6 +489,16 @@
 	run_soon(h);
 }
 
+void httpd_close_idle(struct httpd *h)
+{
+	struct conn *tcp;
+
+	list_for_each_entry (tcp, &h->conns, link)
+		if (!tcp->open)
+			shutdown(tcp->fd, SHUT_RDWR);
+	run_soon(h);
+}
+
 void httpd_free(struct httpd *h)
 {
 	struct list *pos, *tmp;
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -58,6 +58,12 @@
 /* Stops listening; open connections go on. */
 void httpd_quiesce(struct httpd *h);
 
+/*
+ * Closes the connections on which no request is open.  A request that crosses
+ * the close is not read, so its sender may send it again.
+ */
+void httpd_close_idle(struct httpd *h);
+
 /* Closes all connections; `closed` is called for requests still owned. */
 void httpd_free(struct httpd *h);
 
--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -161,13 +161,28 @@
 		fn(row, arg);
 }
 
-void registry_expire(struct registry *r, int64_t now)
+void registry_expire(struct registry *r, int64_t now,
+		     void (*stale)(const struct registry_row *row, void *arg),
+		     void *arg)
 {
 	GHashTableIter iter;
 	struct registry_row *row;
 
 	g_hash_table_iter_init(&iter, r->rows);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
-		if (now - row->heard_us > REGISTRY_DROP_US)
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row)) {
+		bool serving = !row->left &&
+			       !strcmp(row->info->state, REGISTRY_SERVING);
+
+		if (now - row->heard_us <= REGISTRY_DROP_US ||
+		    (serving && !stale))
+			continue;
+		if (!serving) {
 			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		set_state(row->info, REGISTRY_STALE);
+		row->info->seq++;
+		row->heard_us = now;
+		stale(row, arg);
+	}
 }
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -21,9 +21,6 @@
  * it.
  */
 
-/* Announcements missed before an endpoint counts as silent. */
-#define REGISTRY_SILENT_US INT64_C(6000000)
-
 /* After so long without an announcement a row is dropped. */
 #define REGISTRY_DROP_US INT64_C(60000000)
 
@@ -63,13 +60,20 @@
 		   void (*fn)(const struct registry_row *row, void *arg),
 		   void *arg);
 
-/* Drops rows that nobody announces any more. */
-void registry_expire(struct registry *r, int64_t now);
+/*
+ * Drops rows that nobody announces any more.  One that served becomes stale
+ * first, and stale() is told so that others hear of it.  Processes that hear
+ * only of changes pass NULL and keep what serves.
+ */
+void registry_expire(struct registry *r, int64_t now,
+		     void (*stale)(const struct registry_row *row, void *arg),
+		     void *arg);
 
 /* leave_deadline_ms of an endpoint that has said goodbye. */
 #define REGISTRY_GONE_MS UINT64_MAX
 
 #define REGISTRY_SERVING "serving"
 #define REGISTRY_LEAVING "leaving"
+#define REGISTRY_STALE "stale"
 
 #endif
