forward: Report copies at endpoints without own requests

Cause: an endpoint that only kept copies for this host was left out of its report, so other hosts and copies overfilled its memory: held 19,350 tokens where the hosts counted 18,000 for copies and requests together.

Change: such rows are reported; copies of young generations are waited for.

--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -155,7 +155,7 @@
 	r->rows = g_new0(Mw__UseRow *, g_hash_table_size(f->targets) + 1);
 	g_hash_table_iter_init(&iter, f->targets);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
-		if (!t->open)
+		if (!t->open && !t->tokens)
 			continue;
 		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
 		mw__use_row__init(row);
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -34,13 +34,19 @@
  * endpoints may work on one request for 400 ms. */
 #define OVERLAP_US (250 * USEC_PER_MSEC)
 
-/* A continuous copy is complete this long after it began: the prompt is read
- * (0.5 s), and sent (0.3 s) beside other copies. */
-#define BACKUP_READY_US (900 * USEC_PER_MSEC)
+/*
+ * A continuous copy takes this long per token once the prompt is read: 18,000
+ * tokens a second within a data centre, half of that between two, beside
+ * other copies on the same links.
+ */
+#define COPY_TOKEN_NEAR_US 85
+#define COPY_TOKEN_FAR_US 170
+#define COPY_BEGIN_US (250 * USEC_PER_MSEC)
 
-/* A young generation's copy is waited for at most this long; the notice is
- * 1.5 s or more. */
-#define WAIT_MAX_US (700 * USEC_PER_MSEC)
+/* A copy that is not complete is asked for again; the notice is 1.5 s or more.
+ */
+#define AGAIN_US (300 * USEC_PER_MSEC)
+#define WAIT_MAX_US (1200 * USEC_PER_MSEC)
 
 static void order(struct request *r, bool last);
 static void another_way(struct request *r, int64_t now);
@@ -83,8 +89,8 @@
 
 static void resume_at(struct request *r, struct target *t, int64_t now)
 {
-	const char *backup = request_begin_backup(r, &r->move.next_backup, t,
-						  now);
+	const char *backup =
+		request_begin_backup(r, &r->move.next_backup, t, now);
 
 	log_move(r, "resume", now);
 	r->move.state = MOVE_RESUME;
@@ -104,8 +110,8 @@
 
 bool move_answered(struct request *r, int status, bool whole, int64_t now)
 {
-	const char *id = r->move.at_source ? r->move.source
-					   : r->move.target.endpoint;
+	const char *id =
+		r->move.at_source ? r->move.source : r->move.target.endpoint;
 	struct target *t = endpoints_target(r->fwd, id);
 
 	r->move.status = status;
@@ -139,6 +145,12 @@
 
 	log_move(r, "refused", now);
 	request_drop_copy(r, &r->move.next_backup);
+	if (at_source(r) && r->move.from_backup &&
+	    now + AGAIN_US <= r->move.began_us + WAIT_MAX_US) {
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = now + AGAIN_US;
+		return;
+	}
 	if (at_source(r) || r->move.from_backup || r->move.at_source ||
 	    !source) {
 		another_way(r, now);
@@ -218,24 +230,37 @@
 	r->move.began_us = now;
 }
 
+/* When the continuous copy is complete but for the last tokens. */
+static int64_t copy_ready_us(const struct request *r,
+			     const struct target *source,
+			     const struct target *backup)
+{
+	int64_t token_us = strcmp(source->dc, backup->dc) ? COPY_TOKEN_FAR_US
+							  : COPY_TOKEN_NEAR_US;
+
+	return MAX(r->backup_us, r->first_event_us) + COPY_BEGIN_US +
+	       (int64_t)r->need_tokens * token_us;
+}
+
 void move_begin(struct request *r, int64_t now)
 {
 	const struct target *source = endpoints_target(r->fwd, r->target);
 	struct target *t = backup_target(r);
 
-	if (!source || r->move.state != MOVE_NONE || !r->generation ||
-	    r->ended)
+	if (!source || r->move.state != MOVE_NONE || !r->generation || r->ended)
 		return;
 	begin(r, source, now);
 	if (!t) {
 		copy_on_order(r, now);
-	} else if (now - r->backup_us < BACKUP_READY_US) {
-		r->move.state = MOVE_WAIT;
-		r->move.due_us = MIN(r->backup_us + BACKUP_READY_US,
-				     now + WAIT_MAX_US);
-	} else {
+		return;
+	}
+	int64_t ready = copy_ready_us(r, source, t);
+	if (ready <= now) {
 		go_on_from_backup(r, t, now);
+		return;
 	}
+	r->move.state = MOVE_WAIT;
+	r->move.due_us = MIN(ready, now + WAIT_MAX_US);
 }
 
 void move_target(struct fwd *f, struct target *t, int64_t now)
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -100,7 +100,7 @@
 #define BACKUP_PERCENT 72
 
 /* A copy to another data centre takes twice as long; percent of a memory. */
-#define BACKUP_FAR_PERCENT 25
+#define BACKUP_FAR_PERCENT 40
 
 bool place_backup(const struct place_target *targets, size_t n,
 		  uint64_t need_tokens, size_t *index)
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -90,6 +90,7 @@
 			return;
 		r->last_event = id;
 		if (!r->events) {
+			r->first_event_us = now;
 			struct slog l = slog_routine("first_event");
 			slog_str(&l, "request", r->ask.id);
 			slog_str(&l, "endpoint", r->target);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -45,8 +45,8 @@
 	char handle[256]; /* "IP:PORT/HANDLE", "" before a copy is complete */
 	bool from_backup; /* the handle is that of the continuous copy */
 	bool at_source;	  /* goes on at the source, from the stopped memory */
-	struct fetch *order; /* that is open */
-	struct fetch *next;  /* the request at the target */
+	struct fetch *order;	 /* that is open */
+	struct fetch *next;	 /* the request at the target */
 	struct copy next_backup; /* of the generation there */
 	struct buf reply;
 	int status;
@@ -96,6 +96,7 @@
 	struct buf unsent_events; /* that the caller's buffer did not take */
 	uint64_t last_event;	  /* newest one passed on */
 	uint64_t events;
+	int64_t first_event_us;
 	int64_t last_event_us;
 	bool ended; /* the endpoint has sent the end */
 	struct move move;
