rep: Elect at once when all voters have just started; tests of new modules

Change: a round that every voter agrees to, and that none has heard a leader since its start, may elect early. Callers that a starting host refuses are told to come back after 0.7 s.

--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,13 @@
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/main.c,$(wildcard platform/*.c)))
 BINS = $(patsubst src/main/%.c,$(B)/%,$(wildcard src/main/*.c)) \
 	$(B)/mustardwalld-platform \
+	$(patsubst platform/tools/%.c,$(B)/platform/%,$(wildcard platform/tools/*.c)) \
 	$(patsubst tools/%.c,$(B)/mw-%,$(wildcard tools/*.c))
-TESTS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/test_*.c))
-FUZZERS = $(patsubst tests/fuzz/%.c,$(B)/tests/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c))
-HAND_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch] platform/*.[ch] tools/*.[ch] tests/*.[ch] tests/fuzz/*.[ch]))
+TESTS = $(patsubst tests/%.c,$(B)/tests/%,$(wildcard tests/test_*.c)) \
+	$(patsubst platform/tests/%.c,$(B)/platform/tests/%,$(wildcard platform/tests/test_*.c))
+FUZZERS = $(patsubst tests/fuzz/%.c,$(B)/tests/fuzz/%,$(wildcard tests/fuzz/fuzz_*.c)) \
+	$(patsubst platform/tests/%.c,$(B)/platform/tests/%,$(wildcard platform/tests/fuzz_*.c))
+HAND_SRC = $(filter-out $(GENERATED),$(wildcard src/*/*.[ch] platform/*.[ch] platform/*/*.[ch] tools/*.[ch] tests/*.[ch] tests/fuzz/*.[ch]))
 
 .PHONY: all tests setup regen format format-check lint unit fuzz-replay scripts \
 	check check-mode demo bench proof clean
@@ -69,9 +72,17 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(B)/libmw.a $(LDLIBS)
 
-$(B)/tests/%: $(B)/tests/%.o $(B)/libmw.a
+$(B)/platform/tests/%: $(B)/platform/tests/%.o $(PLATFORM_OBJ) $(B)/libmw.a
 	@echo "LD $@"
-	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(B)/libmw.a $(LDLIBS) $(CHECK_LIBS)
+	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS) $(CHECK_LIBS)
+
+$(B)/platform/%: $(B)/platform/tools/%.o $(PLATFORM_OBJ) $(B)/libmw.a
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS)
+
+$(B)/tests/%: $(B)/tests/%.o $(PLATFORM_OBJ) $(B)/libmw.a
+	@echo "LD $@"
+	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS) $(CHECK_LIBS)
 
 setup:
 	@./.ci/setup $(PACKAGES)
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -35,6 +35,7 @@
 #define RETURN_MIN_US (900 * USEC_PER_MSEC)
 #define RETURN_SPREAD_US (2600 * USEC_PER_MSEC)
 #define RETURN_CALL_US (200 * USEC_PER_MSEC)
+#define RETURN_STARTING_US (700 * USEC_PER_MSEC)
 
 /* The account's rank goes before that of the route, which has these values. */
 #define ROUTE_RANKS 3
@@ -190,10 +191,13 @@
 
 	if (!err_info(err)->resend && err != -MW_EAGAIN)
 		return 0;
-	if (r->generation && err != -MW_EDRAINING)
+	if (!r->plan) /* this host has just started, and others may have too */
+		us = RETURN_STARTING_US;
+	else if (r->generation && err != -MW_EDRAINING)
 		us = RETURN_MIN_US +
 		     (int64_t)(g_rand_double(r->fwd->rand) * RETURN_SPREAD_US);
-	return left > 0 ? MIN(us, left / 4) : us;
+	/* Callers wait a third of the time that they have left. */
+	return left > 0 ? MIN(us, left * 3 / 10) : us;
 }
 
 void request_refuse(struct request *r, int err, const char *why, int64_t now)
@@ -675,8 +679,7 @@
 static bool ends_in_time(struct request *r, int64_t now)
 {
 	struct fwd *f = r->fwd;
-	int64_t end = f->drain_us +
-		      f->conf->drain_timeout_ms * USEC_PER_MSEC;
+	int64_t end = f->drain_us + f->conf->drain_timeout_ms * USEC_PER_MSEC;
 	uint64_t output = r->need_tokens - r->ask.prompt_tokens;
 
 	return !f->draining || !r->generation ||
@@ -715,7 +718,7 @@
 	if (err == 0)
 		err = admit(r, &why);
 	if (err < 0) {
-		r->deadline_us = now;
+		r->deadline_us = now + r->ask.patience_us;
 		request_refuse(r, err, why, now);
 		return;
 	}
--- a/src/rep/rep.c
+++ b/src/rep/rep.c
@@ -94,6 +94,7 @@
 	/* A leader may have been heard just before the restart. */
 	r->heard_us = now;
 	rep_become_follower(r, r->vote.term, 0);
+	rep_start_fresh(r);
 	return r;
 }
 
--- a/src/rep/rep_election.c
+++ b/src/rep/rep_election.c
@@ -2,6 +2,11 @@
  * Elections with pre-vote.  A vote is given only if no leader was heard
  * within hold_us, which makes the leader's lease safe and keeps a voter that
  * returns from a partition from unseating a healthy leader.
+ *
+ * A voter that has just started does not know what it heard before, so it
+ * gives no vote within hold_us either.  If all voters have just started, none
+ * of them can be a leader with a lease: then they elect one at once (an early
+ * round).  It needs the consent of every voter, not of a majority.
  */
 #include "rep/rep_int.h"
 
@@ -30,9 +35,20 @@
 	rep_reset_election(r);
 }
 
+/* Waits between early rounds, so that one voter's round is the first. */
+#define EARLY_MIN_US (60 * USEC_PER_MSEC)
+#define EARLY_MAX_US (200 * USEC_PER_MSEC)
+
+void rep_start_fresh(struct rep *r)
+{
+	r->fresh = true;
+	r->early_us = r->now + random_between(r, EARLY_MIN_US, EARLY_MAX_US);
+}
+
 /* A message of the leader of the present term has come in. */
 void rep_heard_leader(struct rep *r, const struct rep_msg *m)
 {
+	r->fresh = false;
 	assert(r->role != REP_LEADER);
 	assert(!r->leader || r->leader == m->from);
 	if (r->role != REP_FOLLOWER || r->leader != m->from)
@@ -72,20 +88,29 @@
 	return rep_is_voter(&vs, r->cfg.id);
 }
 
+/* Whether a vote may be given although no leader was unheard for long. */
+static bool early_consent(const struct rep *r, const struct rep_msg *m)
+{
+	return m->ok && r->fresh && r->vote.joined && r->role != REP_LEADER;
+}
+
 static bool majority_granted(const struct rep *r)
 {
+	uint32_t need =
+		r->early ? rep_n_voters(&r->voters) : rep_majority(&r->voters);
 	uint32_t n = r->self_granted && rep_is_voter(&r->voters, r->cfg.id);
 
 	for (uint32_t i = 0; i < r->n_peers; i++)
 		n += r->peers[i].granted &&
 		     rep_is_voter(&r->voters, r->peers[i].id);
-	return n >= rep_majority(&r->voters);
+	return n >= need;
 }
 
 static void become_leader(struct rep *r)
 {
 	assert(r->role == REP_CANDIDATE && r->vote.vote == r->cfg.id);
 	r->role = REP_LEADER;
+	r->fresh = r->early = false;
 	r->leader = r->cfg.id;
 	r->elected_us = r->now;
 	r->heartbeat_us = r->now;
@@ -116,6 +141,7 @@
 			continue;
 		m = rep_msg_to(r, type, p->id);
 		m->term = term;
+		m->ok = r->early;
 		m->prev_index = rep_last_index(r);
 		m->prev_term = rep_last_term(r);
 		m->sent_us = r->now;
@@ -132,10 +158,28 @@
 		become_leader(r);
 }
 
+static void early_round(struct rep *r)
+{
+	int64_t election_us = r->election_us;
+
+	r->early_us = r->now + random_between(r, EARLY_MIN_US, EARLY_MAX_US);
+	if (!r->vote.joined || !may_campaign(r) || r->n_peers == 0)
+		return;
+	r->early = true;
+	r->role = REP_PRECANDIDATE;
+	ask_for_votes(r, REP_PREVOTE, r->vote.term + 1);
+	r->election_us = election_us;
+}
+
 void rep_election_tick(struct rep *r)
 {
+	if (r->fresh && r->now < r->election_us && r->now >= r->early_us) {
+		early_round(r);
+		return;
+	}
 	if (r->now < r->election_us)
 		return;
+	r->early = false;
 	r->leader = 0;
 	if (!r->vote.joined || !may_campaign(r)) {
 		rep_reset_election(r);
@@ -151,8 +195,8 @@
 {
 	struct rep_msg *reply = rep_msg_to(r, REP_PREVOTE_REPLY, m->from);
 
-	reply->ok =
-		m->term > r->vote.term && !holds_vote(r) && up_to_date(r, m);
+	reply->ok = m->term > r->vote.term &&
+		    (!holds_vote(r) || early_consent(r, m)) && up_to_date(r, m);
 	if (reply->ok)
 		reply->term = m->term;
 	reply->sent_us = m->sent_us;
@@ -164,7 +208,7 @@
 	struct rep_msg *reply;
 	bool ok;
 
-	if (holds_vote(r))
+	if (holds_vote(r) && !early_consent(r, m))
 		return;
 	if (m->term > r->vote.term)
 		rep_become_follower(r, m->term, 0);
--- a/src/rep/rep_int.h
+++ b/src/rep/rep_int.h
@@ -72,6 +72,9 @@
 	uint32_t n_peers;
 
 	/* follower */
+	bool fresh;	     /* no leader was heard since the start */
+	bool early;	     /* the present round needs all voters */
+	int64_t early_us;    /* next early round */
 	int64_t heard_us;    /* last message of a leader, or the start */
 	int64_t election_us; /* when to start an election */
 	uint64_t lead_match; /* equal to the leader's log up to here */
@@ -117,6 +120,7 @@
 void rep_become_follower(struct rep *r, uint64_t term, uint32_t leader);
 void rep_heard_leader(struct rep *r, const struct rep_msg *m);
 void rep_reset_election(struct rep *r);
+void rep_start_fresh(struct rep *r);
 void rep_election_tick(struct rep *r);
 void rep_on_prevote(struct rep *r, const struct rep_msg *m);
 void rep_on_vote(struct rep *r, const struct rep_msg *m);
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,163 @@
+#include "check_main.h"
+
+#include <glib.h>
+
+#include "forward/budget.h"
+#include "forward/place.h"
+
+static struct place_target engine(unsigned int open, uint64_t tokens,
+				  uint64_t prefill)
+{
+	return (struct place_target){.usable = true,
+				     .slots = 24,
+				     .memory_tokens = 34000,
+				     .open = open,
+				     .tokens = tokens,
+				     .prefill = prefill};
+}
+
+static const struct place_ask report = {
+	.generation = true, .prompt_tokens = 3000, .need_tokens = 4000};
+
+/* Guards against a prompt that waits behind others that are being read. */
+START_TEST(test_avoids_unread_prompts)
+{
+	struct place_target t[] = {engine(2, 8000, 6000), engine(5, 20000, 0)};
+	size_t i = 9;
+
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+}
+END_TEST
+
+/* Guards against preemption: memory that running work will need is not free.
+ */
+START_TEST(test_memory_and_slots)
+{
+	struct place_target t[] = {engine(8, 30000, 0), engine(22, 1000, 0)};
+	struct place_ask urgent = report;
+	size_t i = 9;
+
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_FULL);
+	/* What is kept for urgent work takes it. */
+	urgent.urgent = true;
+	urgent.need_tokens = 1500;
+	ck_assert_int_eq(place_choose(t, 2, &urgent, &i), PLACE_OK);
+	/* A request that is larger than the shared part runs alone. */
+	struct place_target idle = engine(0, 0, 0);
+	struct place_ask large = report;
+	large.need_tokens = 33000;
+	ck_assert_int_eq(place_choose(&idle, 1, &large, &i), PLACE_OK);
+}
+END_TEST
+
+/* Guards against "full" being said where nothing serves, and the reverse. */
+START_TEST(test_unusable)
+{
+	struct place_target t[] = {engine(0, 0, 0), engine(0, 0, 0)};
+	size_t i = 9;
+
+	t[0].usable = false;
+	t[1].excluded = true;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_NONE);
+	t[1].excluded = false;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+}
+END_TEST
+
+/* Guards against calls that cross regions while a near endpoint has slots. */
+START_TEST(test_distance)
+{
+	const struct place_ask call = {0};
+	struct place_target t[] = {
+		{.usable = true, .slots = 6, .open = 2, .distance = 0},
+		{.usable = true, .slots = 6, .open = 0, .distance = 2}};
+	size_t i = 9;
+
+	ck_assert_int_eq(place_choose(t, 2, &call, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 0);
+	t[0].open = 12;
+	ck_assert_int_eq(place_choose(t, 2, &call, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+}
+END_TEST
+
+/* Guards against copies that take the memory of new work. */
+START_TEST(test_backup)
+{
+	struct place_target t[] = {engine(3, 23000, 0), engine(3, 12000, 0),
+				   engine(3, 9000, 0)};
+	size_t i = 9;
+
+	t[2].distance = 2;
+	ck_assert(place_backup(t, 3, 4000, &i));
+	ck_assert_uint_eq(i, 1); /* near goes before a little emptier */
+	t[1].excluded = true;
+	ck_assert(place_backup(t, 3, 4000, &i));
+	ck_assert_uint_eq(i, 2);
+	t[2].tokens = 25000;
+	ck_assert(!place_backup(t, 3, 4000, &i));
+}
+END_TEST
+
+/*
+ * Guards against a herd: six hosts that place by sums a tenth of a second old
+ * must not fill one endpoint beyond its memory.
+ */
+START_TEST(test_herd)
+{
+	struct place_target seen[14], real[14];
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (int k = 0; k < 14; k++)
+		seen[k] = real[k] = engine(0, 0, 0);
+	for (int n = 0; n < 70; n++) {
+		size_t i;
+		if (n % 3 == 0) /* the sums arrive */
+			for (int k = 0; k < 14; k++)
+				seen[k] = real[k];
+		for (int k = 0; k < 14; k++)
+			seen[k].tie = g_rand_int(rand);
+		if (place_choose(seen, 14, &report, &i) != PLACE_OK)
+			continue;
+		real[i].open++;
+		real[i].tokens += report.need_tokens;
+	}
+	for (int k = 0; k < 14; k++)
+		ck_assert_uint_le(real[k].tokens, real[k].memory_tokens);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Guards against more repeats over all hosts than endpoints can bear. */
+START_TEST(test_budget)
+{
+	struct budget b[8];
+	unsigned int repeats = 0, requests = 0;
+
+	for (int h = 0; h < 8; h++)
+		budget_init(&b[h], 40, 8);
+	for (int n = 0; n < 4000; n++) {
+		budget_request(&b[n % 8]);
+		requests++;
+		while (budget_repeat(&b[n % 8]))
+			repeats++;
+	}
+	ck_assert_uint_le(repeats, requests * 20 / 100 + 40);
+	ck_assert_uint_gt(repeats, requests * 10 / 100);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_avoids_unread_prompts,
+				      test_memory_and_slots,
+				      test_unusable,
+				      test_distance,
+				      test_backup,
+				      test_herd,
+				      test_budget};
+
+	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
+}
--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,108 @@
+#include "check_main.h"
+
+#include "base/err.h"
+#include "control/use.h"
+#include "forward/plan.h"
+
+/* Guards against the wrong route where prefixes contain each other. */
+START_TEST(test_longest_prefix)
+{
+	struct plan *p = plan_new();
+
+	plan_add_route(p, "short", "a.example", "/x/");
+	plan_add_route(p, "long", "a.example", "/x/y/");
+	plan_add_route(p, "other", "b.example", "/x/");
+	plan_finish(p);
+	ck_assert_str_eq(plan_route(p, "a.example", "/x/y/z?q=/x/")->name,
+			 "long");
+	ck_assert_str_eq(plan_route(p, "A.example:80", "/x/yy")->name, "short");
+	ck_assert_str_eq(plan_route(p, "b.example", "/x/y/")->name, "other");
+	ck_assert_ptr_null(plan_route(p, "a.example", "/x"));
+	ck_assert_ptr_null(plan_route(p, "a.example", "/?/x/"));
+	ck_assert_ptr_null(plan_route(p, "c.example", "/x/"));
+	plan_unref(p);
+}
+END_TEST
+
+/* Guards against a key that two accounts share. */
+START_TEST(test_keys)
+{
+	struct plan *p = plan_new();
+	struct plan_account *a = plan_add_account(p, "a");
+	struct plan_account *b = plan_add_account(p, "b");
+
+	ck_assert_int_eq(plan_add_key(p, "k1", a), 0);
+	ck_assert_int_eq(plan_add_key(p, "k1", a), 0);
+	ck_assert_int_eq(plan_add_key(p, "k1", b), -MW_EINVAL);
+	ck_assert_ptr_eq(plan_account(p, "k1"), a);
+	ck_assert_ptr_null(plan_account(p, "k2"));
+	plan_unref(p);
+}
+END_TEST
+
+/* Guards against shares of a split route that differ from its weights. */
+START_TEST(test_weights)
+{
+	struct plan *p = plan_new();
+	struct plan_service *s = plan_add_service(p, "s");
+	struct plan_service *t = plan_add_service(p, "t");
+	struct plan_route *r = plan_add_route(p, "r", "h", "/");
+	unsigned int first = 0;
+
+	plan_add_backend(r, s, 90);
+	plan_add_backend(r, t, 10);
+	for (uint32_t i = 0; i < 1000; i++)
+		first += plan_backend(r, i * 4294967u) == s;
+	ck_assert_uint_ge(first, 895);
+	ck_assert_uint_le(first, 905);
+	ck_assert_ptr_eq(plan_backend(r, UINT32_MAX), t);
+	plan_unref(p);
+}
+END_TEST
+
+static void report(struct use *u, const char *host, uint64_t seq,
+		   uint32_t streams, bool direct, int64_t now)
+{
+	Mw__UseReport r = MW__USE_REPORT__INIT;
+	Mw__UseRow row = MW__USE_ROW__INIT, *rows[] = {&row};
+
+	row.endpoint = (char *)"e";
+	row.streams = streams;
+	r.host = (char *)host;
+	r.incarnation = 1;
+	r.seq = seq;
+	r.rows = rows;
+	r.n_rows = 1;
+	use_take(u, &r, direct, now);
+}
+
+/* Guards against work that is counted twice, late, or for hosts that died. */
+START_TEST(test_use)
+{
+	struct use *u = use_new();
+
+	report(u, "h1", 1, 3, true, 0);
+	report(u, "h2", 5, 4, false, 0);
+	report(u, "h2", 4, 9, false, 0); /* late */
+	Mw__UseTotals *t = use_totals(u, "h1", 0);
+	ck_assert_uint_eq(t->hosts, 2);
+	ck_assert_uint_eq(t->n_rows, 1);
+	ck_assert_uint_eq(t->rows[0]->streams, 4);
+	use_totals_free(t);
+	ck_assert(use_reports_here(u, "h1", 0));
+	ck_assert(!use_reports_here(u, "h2", 0));
+	use_drop(u, "h2");
+	t = use_totals(u, "h1", USE_VALID_US + 1);
+	ck_assert_uint_eq(t->n_rows, 0);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_longest_prefix, test_keys,
+				      test_weights, test_use};
+
+	return check_main("plan", tests, sizeof(tests) / sizeof(*tests));
+}
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -671,6 +671,71 @@
 }
 END_TEST
 
+/* Restarts a voter from what it has stored. */
+static void restart(uint32_t id)
+{
+	struct rep_cfg cfg = {.id = id, .seed = 5 + id, .keep_entries = 4};
+	struct rep_stored st = {.vote = saved[id], .entries = stored[id]};
+
+	rep_free(v[id]);
+	v[id] = rep_new(&cfg, &st, now);
+	ck_assert_ptr_nonnull(v[id]);
+	applied[id] = 0;
+	unsynced[id] = 0;
+}
+
+/*
+ * Guards against two seconds without a leader after all voters were killed at
+ * one moment: hosts that restart with them have no settings until then.
+ */
+START_TEST(test_all_restart_elects_early)
+{
+	for (uint32_t id = 1; id <= 3; id++)
+		restart(id);
+	run_for(HOLD / 2);
+	ck_assert_uint_ne(leader(), 0);
+}
+END_TEST
+
+/*
+ * Guards against an early election while the leader of a voter that has not
+ * restarted may still hold its lease.
+ */
+START_TEST(test_some_restart_waits)
+{
+	uint32_t l = leader(), f = other(l), g = other(f);
+
+	cut[l] = true;
+	restart(f);
+	restart(g);
+	run_for(HOLD - 100 * MSEC);
+	ck_assert_uint_eq(leader(), 0);
+	run_for(2 * HOLD);
+	ck_assert_uint_ne(leader(), 0);
+}
+END_TEST
+
+/* Guards against reads that are confirmed by answers to older messages. */
+START_TEST(test_confirmation)
+{
+	uint32_t l = leader();
+	int64_t asked;
+
+	now += MSEC;
+	asked = now;
+	ck_assert_int_lt(rep_confirmed_us(v[l]), asked);
+	rep_probe(v[l], now);
+	settle();
+	ck_assert_int_ge(rep_confirmed_us(v[l]), asked);
+	cut[l] = true;
+	now += MSEC;
+	rep_probe(v[l], now);
+	settle();
+	ck_assert_int_lt(rep_confirmed_us(v[l]), now);
+	ck_assert_int_eq(rep_confirmed_us(v[other(l)]), 0);
+}
+END_TEST
+
 /* Guards against a follower that cannot catch up once entries are gone. */
 START_TEST(test_snapshot_transfer)
 {
@@ -846,6 +911,9 @@
 	tcase_add_test(tc, test_change_before_no_op);
 	tcase_add_test(tc, test_leader_removes_itself);
 	tcase_add_test(tc, test_removed_voter_restarts);
+	tcase_add_test(tc, test_all_restart_elects_early);
+	tcase_add_test(tc, test_some_restart_waits);
+	tcase_add_test(tc, test_confirmation);
 	tcase_add_test(tc, test_snapshot_transfer);
 	tcase_add_test(tc, test_sync_after_truncation);
 	tcase_add_test(tc, test_wire_refusals);
