rep: Early rounds end with the first ordinary one, and need a stored list

Change: early rounds stop at the first ordinary round and when a vote is given; they need a synced log.

--- a/src/rep/rep_election.c
+++ b/src/rep/rep_election.c
@@ -88,10 +88,15 @@
 	return rep_is_voter(&vs, r->cfg.id);
 }
 
-/* Whether a vote may be given although no leader was unheard for long. */
+/*
+ * Whether a vote may be given although the hold time has not passed.  The
+ * first list of voters must be on disk: a leader that fails at once would
+ * leave a group that does not know its voters.
+ */
 static bool early_consent(const struct rep *r, const struct rep_msg *m)
 {
-	return m->ok && r->fresh && r->vote.joined && r->role != REP_LEADER;
+	return m->ok && r->fresh && r->vote.joined && r->role != REP_LEADER &&
+	       r->synced > 0;
 }
 
 static bool majority_granted(const struct rep *r)
@@ -163,7 +168,7 @@
 	int64_t election_us = r->election_us;
 
 	r->early_us = r->now + random_between(r, EARLY_MIN_US, EARLY_MAX_US);
-	if (!r->vote.joined || !may_campaign(r) || r->n_peers == 0)
+	if (!r->vote.joined || !may_campaign(r) || !r->synced)
 		return;
 	r->early = true;
 	r->role = REP_PRECANDIDATE;
@@ -179,7 +184,9 @@
 	}
 	if (r->now < r->election_us)
 		return;
+	/* From now on a majority decides; early rounds would disturb it. */
 	r->early = false;
+	r->early_us = INT64_MAX;
 	r->leader = 0;
 	if (!r->vote.joined || !may_campaign(r)) {
 		rep_reset_election(r);
@@ -217,6 +224,7 @@
 	if (ok) {
 		assert(r->vote.joined);
 		rep_set_term(r, m->term, m->from);
+		r->early_us = INT64_MAX;
 		rep_reset_election(r);
 	}
 	reply = rep_msg_to(r, REP_VOTE_REPLY, m->from);
--- a/tests/test_rep_random.c
+++ b/tests/test_rep_random.c
@@ -78,6 +78,7 @@
 	if (st.snap.index)
 		restore(n, &st.snap);
 	n->restart_at = 0;
+	n->fresh = true;
 	n->r = rep_new(&cfg, &st, local(n));
 	if (!n->r)
 		violated("state of %u on disk does not fit", n->id);
@@ -420,6 +421,7 @@
 	if ((m->type == REP_APPEND || m->type == REP_SNAP) &&
 	    m->term >= rep_term(n->r)) {
 		n->heard = local(n);
+		n->fresh = false;
 		if (m->term > n->echo_term)
 			n->echo_min = n->echo_max = m->sent_us;
 		n->echo_term = m->term;
