control: Ask model endpoints for their load on behalf of all hosts

Cause: sums of the hosts lack copies that have not expired and work of hosts that died: endpoints refused copies for want of room, and preempted.

Change: each control process asks the model endpoints of its data centre twice a second and spreads memory in use and queue length with the sums.

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -12,6 +12,7 @@
 #include "control/ctl_admin.h"
 #include "control/ctl_document.h"
 #include "control/ctl_feed.h"
+#include "control/ctl_poll.h"
 #include "control/ctl_roster.h"
 #include "control/ctl_status.h"
 #include "iface/iface.h"
@@ -444,6 +445,8 @@
 		ctl_roster_tick(c->roster, now);
 	ctl_document_tick(c, now);
 	ctl_feed_tick(c->feed, now);
+	if (c->poll)
+		ctl_poll_tick(c->poll, now);
 	ctl_status_tick(c, now);
 	ctl_hub_tell(c, now);
 	ctl_spill_tick(c, now);
@@ -587,6 +590,8 @@
 		return r;
 	ctl_hub_start(c);
 	c->feed = ctl_feed_new(c);
+	if (iface)
+		c->poll = ctl_poll_new(c);
 	if ((r = start_peers(c)) < 0)
 		return r;
 	if (conf->seed_nr)
@@ -639,6 +644,7 @@
 		tree_unref(c->versions[i]);
 	ctl_log_close(c);
 	fetcher_free(c->fetcher);
+	ctl_poll_free(c->poll);
 	g_hash_table_destroy(c->waiting);
 	g_hash_table_destroy(c->boot_seen);
 	ctl_status_free(c->status);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -37,6 +37,7 @@
  *   ctl_roster.c  control processes found through seeds, voters
  *   ctl_document.c  documents that are published as a whole
  *   ctl_feed.c    what entry hosts follow: tree, endpoints, work of others
+ *   ctl_poll.c    load of the model endpoints of its data centre
  *   ctl_admin.c   HTTP paths of operators
  *   ctl_status.c  what is cut off and since when, for status answers
  */
@@ -44,6 +45,7 @@
 struct ctl_status;
 struct ctl_roster;
 struct ctl_feed;
+struct ctl_poll;
 struct iface;
 
 /* Result of a proposal: 0 and the outcome, or a negative error number. */
@@ -107,6 +109,7 @@
 	struct ctl_status *status;
 	struct ctl_roster *roster; /* with --seeds */
 	struct ctl_feed *feed;
+	struct ctl_poll *poll; /* with an interface */
 	struct list documents; /* ctl_document.c: what waits for its turn */
 	struct list reads;     /* ctl_document.c: reads to be confirmed */
 	bool publishing;
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -265,6 +265,23 @@
 			peer_send(p, &frame);
 }
 
+const struct registry *ctl_feed_registry(const struct ctl_feed *f)
+{
+	return f->registry;
+}
+
+void ctl_feed_loads(struct ctl_feed *f, Mw__UseReport *report, int64_t now)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+
+	use_take(f->use, report, false, now);
+	frame.body_case = MW__FRAME__BODY_USE_REPORT;
+	frame.use_report = report;
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (!is_entry(p))
+			peer_send(p, &frame);
+}
+
 static void send_totals(struct ctl_feed *f, int64_t now)
 {
 	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p)) {
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -20,6 +20,12 @@
 void ctl_feed_peer_down(struct ctl_feed *f, struct peer *p);
 void ctl_feed_tick(struct ctl_feed *f, int64_t now);
 
+/* Endpoints as known here; they belong to the feed. */
+const struct registry *ctl_feed_registry(const struct ctl_feed *f);
+
+/* What the endpoints of this data centre say of their load. */
+void ctl_feed_loads(struct ctl_feed *f, Mw__UseReport *report, int64_t now);
+
 /* A new version of the tree was applied here. */
 void ctl_feed_tree_changed(struct ctl_feed *f);
 
--- /dev/null
+++ b/src/control/ctl_poll.c
@@ -0,0 +1,171 @@
+#include "control/ctl_poll.h"
+
+#include <string.h>
+#include <jansson.h>
+
+#include "base/cleanup.h"
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/log.h"
+#include "control/ctl_feed.h"
+#include "iface/iface.h"
+
+/* Endpoints are asked this often; what they say is half a second old anyway. */
+#define POLL_INTERVAL_US (500 * USEC_PER_MSEC)
+#define POLL_TIMEOUT_MS 400
+#define REPORT_MAX_BYTES (64 * 1024)
+
+struct asked {
+	struct ctl_poll *poll;
+	char *id;
+	struct buf body;
+};
+
+struct ctl_poll {
+	struct ctl *ctl;
+	struct plan *plan; /* names the services with model endpoints */
+	uint64_t plan_version;
+	GHashTable *loads; /* endpoint id to Mw__UseRow */
+	int64_t asked_us;
+	uint64_t seq;
+};
+
+static void row_free(void *p)
+{
+	Mw__UseRow *row = p;
+
+	g_free(row->endpoint);
+	g_free(row);
+}
+
+struct ctl_poll *ctl_poll_new(struct ctl *c)
+{
+	struct ctl_poll *p = g_new0(struct ctl_poll, 1);
+
+	p->ctl = c;
+	p->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
+	return p;
+}
+
+void ctl_poll_free(struct ctl_poll *p)
+{
+	if (!p)
+		return;
+	plan_unref(p->plan);
+	g_hash_table_destroy(p->loads);
+	g_free(p);
+}
+
+static void on_data(void *arg, struct fetch *f, const char *p, size_t n)
+{
+	struct asked *a = arg;
+
+	(void)f;
+	if (buf_unread(&a->body) + n <= REPORT_MAX_BYTES)
+		buf_add(&a->body, p, n);
+}
+
+static void on_done(void *arg, struct fetch *f, const struct fetch_result *r)
+{
+	struct asked *a = arg;
+	struct load_report load;
+	int err = -MW_EIO;
+
+	(void)f;
+	if (r->err == FETCH_OK && r->status == 200)
+		err = a->poll->ctl->iface->report(buf_head(&a->body),
+						  buf_unread(&a->body), &load);
+	if (err == 0) {
+		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
+
+		mw__use_row__init(row);
+		row->endpoint = g_strdup(a->id);
+		row->used = load.used_tokens;
+		row->waiting = load.waiting;
+		g_hash_table_replace(a->poll->loads, row->endpoint, row);
+	} else {
+		log_debug("poll", "no load from %s: %s", a->id,
+			  err_info(err)->kind);
+		g_hash_table_remove(a->poll->loads, a->id);
+	}
+	buf_release(&a->body);
+	g_free(a->id);
+	g_free(a);
+}
+
+static const struct fetch_ops poll_ops = {.data = on_data, .done = on_done};
+
+static void learn_services(struct ctl_poll *p)
+{
+	struct tree *t = sm_tree(p->ctl->sm);
+
+	if (tree_version(t) == p->plan_version)
+		return;
+	p->plan_version = tree_version(t);
+	AUTO_JSON json_t *body =
+		tree_resolve(t, "documents/plan", "body", NULL);
+	const char *text = json_string_value(body);
+	struct plan *plan;
+	if (!text || !*text ||
+	    p->ctl->iface->plan(text, strlen(text), &plan) < 0)
+		return;
+	plan_unref(p->plan);
+	p->plan = plan;
+}
+
+static void ask(const struct registry_row *row, void *arg)
+{
+	struct ctl_poll *p = arg;
+	const Mw__EndpointInfo *info = row->info;
+	const struct plan_service *s =
+		info->n_models ? plan_service(p->plan, info->models[0]) : NULL;
+
+	if (row->left || !s || !s->engine ||
+	    strcmp(info->dc, p->ctl->conf->dc) != 0 ||
+	    strcmp(info->state, REGISTRY_SERVING) != 0) {
+		g_hash_table_remove(p->loads, info->id);
+		return;
+	}
+	struct asked *a = g_new0(struct asked, 1);
+	a->poll = p;
+	a->id = g_strdup(info->id);
+	g_autofree char *url = g_strdup_printf("http://%s%s", info->addr,
+					       p->ctl->iface->report_path);
+	struct fetch_spec spec = {.method = "GET",
+				  .url = url,
+				  .connect_timeout_ms = 200,
+				  .timeout_ms = POLL_TIMEOUT_MS};
+	fetch_start(p->ctl->fetcher, &spec, &poll_ops, a);
+}
+
+static void tell(struct ctl_poll *p, int64_t now)
+{
+	Mw__UseReport report = MW__USE_REPORT__INIT;
+	g_autofree Mw__UseRow **rows =
+		g_new0(Mw__UseRow *, g_hash_table_size(p->loads) + 1);
+	GHashTableIter iter;
+	Mw__UseRow *row;
+
+	g_hash_table_iter_init(&iter, p->loads);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		rows[report.n_rows++] = row;
+	report.host = p->ctl->conf->host;
+	report.incarnation = p->ctl->incarnation;
+	report.seq = ++p->seq;
+	report.rows = rows;
+	report.loads = true;
+	ctl_feed_loads(p->ctl->feed, &report, now);
+}
+
+void ctl_poll_tick(struct ctl_poll *p, int64_t now)
+{
+	if (now - p->asked_us < POLL_INTERVAL_US)
+		return;
+	p->asked_us = now;
+	learn_services(p);
+	if (!p->plan)
+		return;
+	tell(p, now);
+	registry_each(ctl_feed_registry(p->ctl->feed), ask, p);
+}
--- a/src/control/use.c
+++ b/src/control/use.c
@@ -91,6 +91,8 @@
 	sum->streams += row->streams;
 	sum->tokens += row->tokens;
 	sum->prefill += row->prefill;
+	sum->used += row->used;
+	sum->waiting += row->waiting;
 }
 
 static void add_repeat(GHashTable *sums, const Mw__RepeatRow *row)
@@ -136,7 +138,7 @@
 	while (g_hash_table_iter_next(&iter, (void **)&name, (void **)&h)) {
 		if (now - h->heard_us > USE_VALID_US)
 			continue;
-		t->hosts++;
+		t->hosts += !h->report->loads;
 		if (!strcmp(name, except))
 			continue;
 		for (size_t i = 0; i < h->report->n_rows; i++)
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -128,6 +128,8 @@
 		freed |= t->others_open > 0;
 		t->others_open = 0;
 		t->others_tokens = t->others_prefill = 0;
+		t->used_tokens = 0;
+		t->waiting = 0;
 	}
 	for (size_t i = 0; i < totals->n_rows; i++) {
 		const Mw__UseRow *row = totals->rows[i];
@@ -137,6 +139,8 @@
 		t->others_open = row->streams;
 		t->others_tokens = row->tokens;
 		t->others_prefill = row->prefill;
+		t->used_tokens = row->used;
+		t->waiting = row->waiting;
 	}
 	if (freed)
 		request_pump(f, now);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -52,6 +52,9 @@
 	/* Work of the other hosts, as of the last totals. */
 	unsigned int others_open;
 	uint64_t others_tokens, others_prefill;
+	/* As it says itself, half a second ago; 0: not known. */
+	uint64_t used_tokens;
+	unsigned int waiting;
 	int64_t leaving_us; /* its generations are moved then, 0: not at all */
 	/* Failures. */
 	int64_t avoid_until_us;
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -27,8 +27,8 @@
  * takes 2 s, twice that to another data centre. */
 #define ORDER_TIMEOUT_MS 5000
 
-/* Targets that are tried for one generation. */
-#define TARGETS_MAX 4
+/* Orders for one generation. */
+#define ORDERS_MAX 8
 
 /* The source is stopped after this although the target has not answered: two
  * endpoints may work on one request for 400 ms. */
@@ -48,6 +48,9 @@
 #define AGAIN_US (300 * USEC_PER_MSEC)
 #define WAIT_MAX_US (1200 * USEC_PER_MSEC)
 
+/* Room for a copy on order is looked for again after this. */
+#define ROOM_AGAIN_US (120 * USEC_PER_MSEC)
+
 static void order(struct request *r, bool last);
 static void another_way(struct request *r, int64_t now);
 
@@ -80,8 +83,13 @@
 
 static void give_up(struct request *r, int64_t now)
 {
-	log_move(r, "given up", now);
 	request_drop_copy(r, &r->move.target);
+	if (at_source(r) && r->service->moves && r->move.tries < ORDERS_MAX) {
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = now + ROOM_AGAIN_US;
+		return;
+	}
+	log_move(r, "given up", now);
 	r->move.state = MOVE_NONE;
 	if (!at_source(r))
 		relay_abort(r, "the generation could not be moved", now);
@@ -184,12 +192,13 @@
 {
 	r->move.from_backup = false;
 	r->move.handle[0] = '\0';
+	r->move.state = MOVE_COPY;
 	if (!at_source(r) || !r->service->moves ||
-	    ++r->move.tries > TARGETS_MAX || !choose_target(r, now)) {
+	    r->move.tries >= ORDERS_MAX || !choose_target(r, now)) {
 		give_up(r, now);
 		return;
 	}
-	r->move.state = MOVE_COPY;
+	r->move.tries++;
 	order(r, false);
 }
 
@@ -284,7 +293,7 @@
 	if (now < r->move.due_us)
 		return;
 	if (r->move.state == MOVE_WAIT) {
-		t = backup_target(r);
+		t = r->move.tries ? NULL : backup_target(r);
 		if (t)
 			go_on_from_backup(r, t, now);
 		else
@@ -377,9 +386,9 @@
 		r->move.state = MOVE_READY;
 		if (!at_source(r))
 			resume(r, now);
-	} else if (err == -MW_EAGAIN) {
-		copy_on_order(r, now);
 	} else {
+		if (err != -MW_EAGAIN)
+			r->move.tries = ORDERS_MAX;
 		give_up(r, now);
 	}
 }
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -11,12 +11,18 @@
  * Short urgent answers come 1.4 times as often as long ones and stay a
  * fiftieth of their time, so a tenth is enough for them.
  */
-#define SHARED_PERCENT 90
+#define SHARED_PERCENT 78
 
 /* Expected memory may reach this part of an engine: sums of means are exceeded
  * now and then, and an engine that is out of memory preempts. */
 #define MEMORY_PERCENT 94
 
+/*
+ * A generation that is moved may go beyond: the forecast is for the end of all
+ * that run, and they do not end together.
+ */
+#define MOVING_PERCENT 100
+
 /*
  * Cost of each step away, in microseconds of delay: the round trip (2 and 24
  * ms), and the price of the bytes, which for a long answer is as much again.
@@ -26,6 +32,10 @@
 /* A generation slows each token of the others by 0.12 ms; over 30 tokens. */
 #define STREAM_COST_US 3600
 
+/* A request that waits in an engine's queue waits for memory or for a prompt
+ * of 2,000 tokens to be read. */
+#define WAITING_COST_US 250000
+
 /* A request in a plain endpoint's slot delays the next one by its work. */
 #define CALL_COST_US 10000
 
@@ -36,7 +46,9 @@
 
 	if (!ask->generation)
 		return true;
-	if (!ask->urgent) {
+	if (ask->moving) {
+		memory = t->memory_tokens * MOVING_PERCENT / 100;
+	} else if (!ask->urgent) {
 		slots = slots * SHARED_PERCENT / 100;
 		memory = memory * SHARED_PERCENT / 100;
 	}
@@ -60,6 +72,7 @@
 	}
 	us += (int64_t)t->prefill * 1000 / READ_TOKENS_PER_MS;
 	us += (int64_t)t->open * STREAM_COST_US;
+	us += (int64_t)t->waiting * WAITING_COST_US;
 	/* Towards full memory the risk of preemption grows. */
 	if (t->memory_tokens)
 		us += (int64_t)(t->tokens * 100000 / t->memory_tokens);
@@ -97,7 +110,7 @@
  * Memory that may be taken once a copy is added, percent.  Endpoints are
  * reclaimed a sixth at a time, so what is left must take their work as well.
  */
-#define BACKUP_PERCENT 72
+#define BACKUP_PERCENT 60
 
 /* A copy to another data centre takes twice as long; percent of a memory. */
 #define BACKUP_FAR_PERCENT 40
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -28,6 +28,7 @@
 	unsigned int open;
 	uint64_t tokens;  /* that its generations will need */
 	uint64_t prefill; /* prompt tokens not read yet */
+	unsigned int waiting; /* requests in its own queue */
 	int64_t slow_us;  /* recent time to the first answer above the usual */
 	uint64_t tie;	  /* breaks ties; different for each host and request */
 };
@@ -35,6 +36,7 @@
 struct place_ask {
 	bool generation;
 	bool urgent; /* may use what is kept for urgent work */
+	bool moving; /* runs already, and is lost if it is not moved */
 	uint32_t prompt_tokens;
 	uint64_t need_tokens; /* memory expected at its end */
 };
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -40,6 +40,9 @@
 /* The account's rank goes before that of the route, which has these values. */
 #define ROUTE_RANKS 3
 
+/* Work whose answer is aimed at within this time is urgent. */
+#define URGENT_AIM_US (2 * USEC_PER_SEC)
+
 /* Time that an engine takes for a token beside some others, microseconds. */
 #define TOKEN_US 10000
 
@@ -297,7 +300,9 @@
 			.slots = t->slots,
 			.memory_tokens = r->service->memory_tokens,
 			.open = t->open + t->others_open,
-			.tokens = t->tokens + t->others_tokens,
+			.tokens = MAX(t->tokens + t->others_tokens,
+				      t->used_tokens),
+			.waiting = t->waiting,
 			.prefill = t->prefill + t->others_prefill,
 			.slow_us = t->slow_us,
 			.tie = g_rand_int(f->rand),
@@ -310,7 +315,8 @@
 			      const char *near, bool *any, int64_t now)
 {
 	struct place_ask ask = {.generation = r->generation,
-				.urgent = r->route->aim_us < 2 * USEC_PER_SEC,
+				.urgent = r->route->aim_us < URGENT_AIM_US,
+				.moving = r->move.state != MOVE_NONE,
 				.prompt_tokens = r->ask.prompt_tokens,
 				.need_tokens = r->need_tokens};
 	struct choice c = list_targets(r, except, near, now);
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -90,6 +90,12 @@
 	bool gone;	    /* no such generation runs there */
 };
 
+/* What a model endpoint says of its load. */
+struct load_report {
+	uint64_t used_tokens; /* memory that cannot be given to others */
+	uint32_t waiting;     /* requests in its queue */
+};
+
 struct iface {
 	const char *name;
 	size_t max_document; /* bytes of a published document */
@@ -120,6 +126,10 @@
 	void (*refuse)(struct httpd_req *http, int err, bool may_have_run,
 		       int64_t retry_after_us, bool close);
 
+	/* Path of a model endpoint's load, and its answer; 0 or -MW_EINVAL. */
+	const char *report_path;
+	int (*report)(const char *body, size_t len, struct load_report *out);
+
 	/* Path of a request of the balancer that asks whether we are ready. */
 	const char *ready_path;
 
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -7231,7 +7231,7 @@
   (ProtobufCMessageInit) mw__endpoint_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[6] =
 {
   {
     "endpoint",
@@ -7281,17 +7281,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_row__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   3,   /* field[3] = prefill */
   1,   /* field[1] = streams */
   2,   /* field[2] = tokens */
+  4,   /* field[4] = used */
+  5,   /* field[5] = waiting */
 };
 static const ProtobufCIntRange mw__use_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mw__use_row__descriptor =
 {
@@ -7301,7 +7327,7 @@
   "Mw__UseRow",
   "mw",
   sizeof(Mw__UseRow),
-  4,
+  6,
   mw__use_row__field_descriptors,
   mw__use_row__field_indices_by_name,
   1,  mw__use_row__number_ranges,
@@ -7372,7 +7398,7 @@
   (ProtobufCMessageInit) mw__repeat_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[6] =
 {
   {
     "host",
@@ -7434,10 +7460,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseReport, loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_report__field_indices_by_name[] = {
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
+  5,   /* field[5] = loads */
   4,   /* field[4] = repeats */
   3,   /* field[3] = rows */
   2,   /* field[2] = seq */
@@ -7445,7 +7484,7 @@
 static const ProtobufCIntRange mw__use_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mw__use_report__descriptor =
 {
@@ -7455,7 +7494,7 @@
   "Mw__UseReport",
   "mw",
   sizeof(Mw__UseReport),
-  5,
+  6,
   mw__use_report__field_descriptors,
   mw__use_report__field_indices_by_name,
   1,  mw__use_report__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1019,10 +1019,18 @@
    * prompt tokens sent and not answered yet
    */
   uint64_t prefill;
+  /*
+   * memory in use, as the endpoint says; 0: not known
+   */
+  uint64_t used;
+  /*
+   * requests that wait there, as the endpoint says
+   */
+  uint32_t waiting;
 };
 #define MW__USE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1053,10 +1061,14 @@
   Mw__UseRow **rows;
   size_t n_repeats;
   Mw__RepeatRow **repeats;
+  /*
+   * of a control process: what endpoints say
+   */
+  protobuf_c_boolean loads;
 };
 #define MW__USE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
