forward: Let generations wait up to half of their aim, three a route and host

Change: the wait is bounded by half of the time that callers aim at and by three waiting generations of a route on a host; what is beyond is refused at once.

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -11,7 +11,7 @@
  * Short urgent answers come 1.4 times as often as long ones and stay a
  * fiftieth of their time, so a tenth is enough for them.
  */
-#define SHARED_PERCENT 78
+#define SHARED_PERCENT 80
 
 /* Expected memory may reach this part of an engine: sums of means are exceeded
  * now and then, and an engine that is out of memory preempts. */
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -15,9 +15,18 @@
 /* Endpoints that one request may fail to reach. */
 #define UNSENT_MAX 3
 
-/* Of the time to the answer that callers aim at, a request may wait this part
- * for room before it is refused; a caller that comes back loses little. */
-#define WAIT_PART 8
+/*
+ * A request waits for room at most this part of the time to the answer that
+ * its caller aims at: later it could not be answered in time, and a caller
+ * that is refused may come back elsewhere.
+ */
+#define WAIT_PART 2
+
+/*
+ * Generations of one route that wait on one host.  All hosts together start
+ * some six a second when endpoints are full, so more would wait too long.
+ */
+#define WAIT_ROUTE_MAX 3
 
 /* Requests that wait on one host; more are refused at once. */
 #define WAITING_MAX 256
@@ -404,6 +413,17 @@
 	return true;
 }
 
+/* Requests of the same route that wait already. */
+static unsigned int waiting_before(const struct request *r)
+{
+	struct request *o;
+	unsigned int n = 0;
+
+	list_for_each_entry (o, &r->fwd->waiting, wait_node)
+		n += o->route == r->route;
+	return n;
+}
+
 static void place(struct request *r, int64_t now)
 {
 	bool any;
@@ -414,7 +434,8 @@
 	}
 	if (try_place(r, now, &any))
 		return;
-	if (r->fwd->n_waiting >= WAITING_MAX) {
+	if (r->fwd->n_waiting >= WAITING_MAX ||
+	    (r->generation && any && waiting_before(r) >= WAIT_ROUTE_MAX)) {
 		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
 		return;
 	}
