rep: Early rounds do not wait for a voter whose disk is lost

Change: a process that listens at a voter's address with another id has taken its place; the voter cannot lead, so its consent is not needed.

--- a/src/control/ctl_roster.c
+++ b/src/control/ctl_roster.c
@@ -137,12 +137,24 @@
 		tell(r, p);
 }
 
+/* A voter's address that answers with another identity has a new disk. */
+static void note_lost_disk(struct ctl_roster *r, const Mw__Hello *h)
+{
+	const struct rep_voters *vs = rep_voters(r->ctl->rep);
+
+	for (uint32_t i = 0; i < vs->n; i++)
+		if (h->voter && vs->v[i].id != h->voter &&
+		    !strcmp(vs->v[i].addr, h->peer_addr))
+			rep_note_gone(r->ctl->rep, vs->v[i].id);
+}
+
 void ctl_roster_peer_up(struct ctl_roster *r, struct peer *p)
 {
 	const Mw__Hello *h = peer_hello(p);
 	int64_t now = clock_mono_us();
 
 	if (is_control(p)) {
+		note_lost_disk(r, h);
 		struct known *k = note(r, h->peer_addr, now);
 		if (k) {
 			k->id = h->voter;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -26,11 +26,11 @@
 	uint64_t memory_tokens; /* 0: a plain endpoint */
 	/* Work of all hosts on it. */
 	unsigned int open;
-	uint64_t tokens;  /* that its generations will need */
-	uint64_t prefill; /* prompt tokens not read yet */
+	uint64_t tokens;      /* that its generations will need */
+	uint64_t prefill;     /* prompt tokens not read yet */
 	unsigned int waiting; /* requests in its own queue */
-	int64_t slow_us;  /* recent time to the first answer above the usual */
-	uint64_t tie;	  /* breaks ties; different for each host and request */
+	int64_t slow_us; /* recent time to the first answer above the usual */
+	uint64_t tie;	 /* breaks ties; different for each host and request */
 };
 
 struct place_ask {
--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -203,6 +203,12 @@
  */
 void rep_spread_commit(struct rep *r, int64_t now);
 
+/*
+ * The disk of this voter is lost: the process at its address has another id.
+ * It cannot lead, so early rounds do not wait for its consent.
+ */
+void rep_note_gone(struct rep *r, uint32_t id);
+
 /* Takes a message from another voter; the caller keeps ownership. */
 void rep_step(struct rep *r, int64_t now, const struct rep_msg *m);
 
--- a/src/rep/rep_election.c
+++ b/src/rep/rep_election.c
@@ -6,7 +6,8 @@
  * A voter that has just started does not know what it heard before, so it
  * gives no vote within hold_us either.  If all voters have just started, none
  * of them can be a leader with a lease: then they elect one at once (an early
- * round).  It needs the consent of every voter, not of a majority.
+ * round).  It needs the consent of every voter but those whose disk is known
+ * to be lost, not of a majority.
  */
 #include "rep/rep_int.h"
 
@@ -99,10 +100,33 @@
 	       r->synced > 0;
 }
 
+static bool is_gone(const struct rep *r, uint32_t id)
+{
+	for (uint32_t i = 0; i < r->n_gone; i++)
+		if (r->gone[i] == id)
+			return true;
+	return false;
+}
+
+void rep_note_gone(struct rep *r, uint32_t id)
+{
+	if (r->n_gone < REP_MAX_VOTERS && id != r->cfg.id && !is_gone(r, id))
+		r->gone[r->n_gone++] = id;
+}
+
+/* All voters whose disk is not lost, and never less than a majority. */
+static uint32_t early_need(const struct rep *r)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < r->voters.n; i++)
+		n += !r->voters.v[i].learner && !is_gone(r, r->voters.v[i].id);
+	return MAX(n, rep_majority(&r->voters));
+}
+
 static bool majority_granted(const struct rep *r)
 {
-	uint32_t need =
-		r->early ? rep_n_voters(&r->voters) : rep_majority(&r->voters);
+	uint32_t need = r->early ? early_need(r) : rep_majority(&r->voters);
 	uint32_t n = r->self_granted && rep_is_voter(&r->voters, r->cfg.id);
 
 	for (uint32_t i = 0; i < r->n_peers; i++)
--- a/src/rep/rep_int.h
+++ b/src/rep/rep_int.h
@@ -72,6 +72,8 @@
 	uint32_t n_peers;
 
 	/* follower */
+	uint32_t gone[REP_MAX_VOTERS]; /* ids of lost disks */
+	uint32_t n_gone;
 	bool fresh;	     /* no leader was heard since the start */
 	bool early;	     /* the present round needs all voters */
 	int64_t early_us;    /* next early round */
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -715,6 +715,29 @@
 }
 END_TEST
 
+/*
+ * Guards against an outage of two seconds after a power loss in which one
+ * voter lost its disk: the others need not wait for one that cannot return.
+ */
+START_TEST(test_lost_disk_elects_early)
+{
+	uint32_t l = leader(), f = other(l), g = other(f);
+
+	rep_free(v[l]);
+	v[l] = NULL;
+	restart(f);
+	restart(g);
+	run_for(HOLD / 2);
+	ck_assert_uint_eq(leader(), 0);
+	restart(f);
+	restart(g);
+	rep_note_gone(v[f], l);
+	rep_note_gone(v[g], l);
+	run_for(HOLD / 2);
+	ck_assert_uint_ne(leader(), 0);
+}
+END_TEST
+
 /* Guards against reads that are confirmed by answers to older messages. */
 START_TEST(test_confirmation)
 {
@@ -913,6 +936,7 @@
 	tcase_add_test(tc, test_removed_voter_restarts);
 	tcase_add_test(tc, test_all_restart_elects_early);
 	tcase_add_test(tc, test_some_restart_waits);
+	tcase_add_test(tc, test_lost_disk_elects_early);
 	tcase_add_test(tc, test_confirmation);
 	tcase_add_test(tc, test_snapshot_transfer);
 	tcase_add_test(tc, test_sync_after_truncation);
