--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -403,6 +403,7 @@
 	/* The endpoint that refused is better than none. */
 	if (!t && *r->tried && !*any)
 		t = request_choose(r, "", f->conf->dc, any, now);
+	r->no_endpoint = !*any;
 	if (!t)
 		return false;
 	if (r->wait_node.next != &r->wait_node) {
@@ -467,7 +468,10 @@
 			move_tick(r, now);
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
 		if (now - r->arrived_us >= wait_max_us(r))
-			request_refuse(r, -MW_EQUEUEFULL, "no room", now);
+			request_refuse(r,
+				       r->no_endpoint ? -MW_ENOENDPOINT
+						      : -MW_EQUEUEFULL,
+				       "no room in time", now);
 }
 
 /* ---- attempt ---- */
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -82,6 +82,7 @@
 	unsigned int attempts;
 	unsigned int unsent; /* attempts that reached no endpoint */
 	bool may_have_run;
+	bool no_endpoint;     /* none could be used when it was tried last */
 	uint64_t need_tokens; /* as counted at the target */
 	uint64_t prefill;     /* as counted at the target */
 
--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -14,7 +14,7 @@
  * bytes: an empty repeated message takes 2 bytes packed and up to 200
  * unpacked.  Honest frames stay below 20 times their size.
  */
-#define FRAME_UNPACK_BYTES (64 * (size_t)FRAME_MAX_BYTES)
+#define FRAME_UNPACK_BYTES (16 * (size_t)FRAME_MAX_BYTES)
 
 /* The cluster key has other uses too; each has its own derived key. */
 static const char frame_key_purpose[] = "mustardwall frame 1";
