forward: Refuse streams that may outlast a shutdown

Change: while a host shuts down it takes a generation only if 98 in 100 of its route would end, and no stream of unknown length; plain calls go on. platform.sh failed on this before (200 instead of 503).

--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -52,6 +52,10 @@
 /* Work whose answer is aimed at within this time is urgent. */
 #define URGENT_AIM_US (2 * USEC_PER_SEC)
 
+/* Of the streams that a host takes while it shuts down one in fifty may be cut.
+ */
+#define LAST_QUANTILE 0.98
+
 /* Time that an engine takes for a token beside some others, microseconds. */
 #define TOKEN_US 10000
 
@@ -704,17 +708,24 @@
 }
 
 /*
- * A host that shuts down takes no generation that would outlast it: the caller
- * loses less by asking another host now.
+ * A host that shuts down takes no stream that may outlast it: the caller loses
+ * less by asking another host now.  How long a stream will be is known only
+ * for generations, from the earlier ones of its route.
  */
 static bool ends_in_time(struct request *r, int64_t now)
 {
 	struct fwd *f = r->fwd;
 	int64_t end = f->drain_us + f->conf->drain_timeout_ms * USEC_PER_MSEC;
-	uint64_t output = r->need_tokens - r->ask.prompt_tokens;
+	struct est_query q = {.account = "",
+			      .route = r->route->name,
+			      .max_tokens = r->ask.max_tokens};
 
-	return !f->draining || !r->generation ||
-	       now + r->route->aim_us / 2 + (int64_t)output * TOKEN_US < end;
+	if (!f->draining || r->route->kind != PLAN_STREAM)
+		return true;
+	if (!r->generation)
+		return false;
+	int64_t tokens = est_quantile(f->est, &q, LAST_QUANTILE, now);
+	return now + r->route->aim_us + tokens * TOKEN_US < end;
 }
 
 static void set_times(struct request *r)
