--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "forward/request.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 #define TICK_S 0.02
@@ -42,6 +43,23 @@
 	httpd_reply(http, !known ? 404 : is_ready(f) ? 200 : 503, NULL, "", 0);
 }
 
+static void on_admin(void *ctx, struct httpd_req *http)
+{
+	static const char *const h[] = {"Content-Type", "text/plain", NULL};
+	AUTO_BUF struct buf b = BUF_INIT;
+	struct fwd *f = ctx;
+
+	if (strcmp(httpd_path(http), "/metrics") != 0) {
+		httpd_reply(http, 404, NULL, "", 0);
+		return;
+	}
+	counter_set(C_OPEN_REQUESTS, NULL, (int64_t)f->n_requests);
+	counter_set(C_TREE_VERSION, NULL, (int64_t)f->tree_version);
+	counter_set(C_LOG_DROPPED, NULL, (int64_t)slog_dropped());
+	counter_write(&b);
+	httpd_reply(http, 200, h, buf_head(&b), buf_unread(&b));
+}
+
 /* Ends the process once nothing is open, or shortly before it is killed. */
 static void drain_tick(struct fwd *f, int64_t now)
 {
@@ -118,6 +136,10 @@
 	if (r == 0)
 		r = httpd_new(f->loop, ready->ip, ready->port, &ready_cfg,
 			      on_ready, f, &f->ready);
+	if (r == 0)
+		r = httpd_new(f->loop, f->conf->admin_addr.ip,
+			      f->conf->admin_addr.port, &ready_cfg, on_admin, f,
+			      &f->admin);
 	return r;
 }
 
@@ -177,6 +199,8 @@
 		httpd_free(f->callers);
 	if (f->ready)
 		httpd_free(f->ready);
+	if (f->admin)
+		httpd_free(f->admin);
 	list_for_each_entry_safe (r, tmp, &f->requests, node)
 		request_free(r);
 	fetcher_free(f->fetcher);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -79,6 +79,7 @@
 	struct fetcher *fetcher;
 	struct httpd *callers;
 	struct httpd *ready;
+	struct httpd *admin; /* metrics */
 
 	/* follow.c */
 	GHashTable *known; /* addresses of control processes that are dialled */
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 /*
@@ -12,7 +13,7 @@
  * has a copy of their memory.  The load that this answers: endpoints are
  * reclaimed with two seconds of notice while generations run for ten.
  *
- * Most generations have a continuous copy (X-backup), which lacks the last
+ * Most generations have a continuous copy, which lacks the last
  * tokens only: the request is sent to the endpoint that keeps it, while the
  * source goes on until the target has answered, so that a refusal costs
  * nothing.  The source must not go on for long beside the target.
@@ -60,6 +61,8 @@
 					    "stop", "ready", "resume"};
 	struct slog l = slog_begin("move");
 
+	counter_add(C_MOVES, outcome, 1);
+
 	slog_str(&l, "request", r->ask.id);
 	slog_str(&l, "step", names[r->move.state]);
 	slog_str(&l, "source", r->move.source);
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 /*
@@ -91,6 +92,8 @@
 		r->last_event = id;
 		if (!r->events) {
 			r->first_event_us = now;
+			counter_observe(C_FIRST_TOKEN_US, "forwarded",
+					now - r->arrived_us);
 			struct slog l = slog_routine("first_event");
 			slog_str(&l, "request", r->ask.id);
 			slog_str(&l, "endpoint", r->target);
@@ -98,6 +101,9 @@
 			slog_int(&l, "since_sent_us", now - r->sent_us);
 			slog_end(&l);
 		}
+		if (r->events)
+			counter_observe(C_TOKEN_GAP_US, "forwarded",
+					now - r->last_event_us);
 		r->events++;
 		r->last_event_us = now;
 		if (r->events % COUNT_EVENTS == 0)
@@ -129,6 +135,7 @@
 		est_observe(r->fwd->est, "", r->route->name,
 			    (uint32_t)(r->events * per_event), now);
 	request_log(r, "answered", "ok", now);
+	counter_add(C_FORWARDED, "ok", 1);
 	httpd_stream_end(r->http);
 	request_free(r);
 }
@@ -136,6 +143,7 @@
 void relay_abort(struct request *r, const char *why, int64_t now)
 {
 	request_log(r, "broken_off", why, now);
+	counter_add(C_FORWARDED, "broken_off", 1);
 	httpd_abort(r->http);
 	request_free(r);
 }
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "forward/place.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 /* A connection is made within this or the next endpoint is tried; the longest
@@ -235,6 +236,7 @@
 	slog_str(&l, "endpoint", *r->target ? r->target : r->tried);
 	slog_int(&l, "waiting", (int64_t)f->n_waiting);
 	slog_end(&l);
+	counter_add(C_REFUSED, err_info(err)->kind, 1);
 	f->iface->refuse(r->http, err, r->may_have_run, after, f->draining);
 	request_free(r);
 }
@@ -245,6 +247,7 @@
 
 	(void)http;
 	request_log(r, "caller_left", "cancelled", clock_mono_us());
+	counter_add(C_FORWARDED, "caller_left", 1);
 	request_free(r);
 }
 
@@ -517,6 +520,9 @@
 static void pass_answer(struct request *r, struct fetch *fetch, int64_t now)
 {
 	struct fwd *f = r->fwd;
+
+	counter_add(C_FORWARDED, r->status < 500 ? "ok" : "endpoint_error", 1);
+	counter_observe(C_CALL_US, "forwarded", now - r->arrived_us);
 	headers *h = f->iface->answer_headers(fetch);
 
 	if (f->draining)
@@ -550,6 +556,7 @@
 static void again(struct request *r, const char *why, int64_t now)
 {
 	request_log(r, "repeat", why, now);
+	counter_add(C_REPEATS, NULL, 1);
 	request_detach(r);
 	buf_consume(&r->body, buf_unread(&r->body));
 	r->status = 0;
@@ -677,6 +684,7 @@
 	r->answer = (struct answer){0};
 	r->sent_us = r->backup_us = now;
 	r->state = REQUEST_SENT;
+	counter_observe(C_QUEUE_WAIT_US, "forwarded", now - r->arrived_us);
 	request_attach(r, t);
 	r->fetch = request_fetch(r, t, NULL, backup, now);
 }
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -70,6 +70,16 @@
       "Blocks that this hub has lent to hubs of other data centres.")
 GAUGE(SPILL_BORROWED, "mustardwall_spill_borrowed_blocks", "blocks", NULL,
       "Blocks that this hub has borrowed from hubs of other data centres.")
+COUNTER(FORWARDED, "mustardwall_forwarded_total", "requests", "outcome",
+	"Forwarded requests that ended, by outcome.")
+COUNTER(REFUSED, "mustardwall_refused_total", "requests", "kind",
+	"Forwarded requests that were refused, by error kind.")
+COUNTER(REPEATS, "mustardwall_repeats_total", "requests", NULL,
+	"Forwarded requests that were sent to another endpoint.")
+COUNTER(MOVES, "mustardwall_moves_total", "steps", "outcome",
+	"Steps of moving generations to other endpoints, by outcome.")
+GAUGE(LOG_DROPPED, "mustardwall_log_lines_dropped", "lines", NULL,
+      "Lines of the structured log that were left out since the start.")
 GAUGE(OPEN_REQUESTS, "mustardwall_open_requests", "requests", NULL,
       "Requests and calls that are open.")
 GAUGE(HTTP_REQUESTS, "mustardwall_http_requests", "requests", NULL,
