forward, control: A file for choosing, documents beside their calls

Change: choose.c holds what a host knows of endpoints and copies; the calls of documents stand in ctl_document.c.

--- a/src/control/ctl_admin.c
+++ b/src/control/ctl_admin.c
@@ -489,54 +489,6 @@
 	ctl_order_submit(c, &o, on_order, op_new(c, fn, arg, o.order_id));
 }
 
-/* ---- documents ---- */
-
-static void on_published(int err, const char *body, size_t len, void *ctx)
-{
-	struct op *op = ctx;
-
-	(void)body;
-	(void)len;
-	if (err < 0)
-		answer_error(op->fn, op->arg, err, NULL, NULL);
-	else
-		answer_json(op->fn, op->arg, json_pack("{s:b}", "accepted", 1));
-	op_free(op);
-}
-
-/* The query holds the name and the revision, "NAME REVISION". */
-static void post_document(struct ctl *c, const Mw__AdminCall *call,
-			  admin_reply_fn fn, void *arg)
-{
-	g_auto(GStrv) part = g_strsplit(call->query, " ", 2);
-
-	if (g_strv_length(part) != 2) {
-		answer_error(fn, arg, -MW_EINVAL, NULL, NULL);
-		return;
-	}
-	ctl_document_publish(c, part[0], g_ascii_strtoull(part[1], NULL, 10),
-			     (const char *)call->body.data, call->body.len,
-			     on_published, op_new(c, fn, arg, part[0]));
-}
-
-static void on_read(int err, const char *body, size_t len, void *ctx)
-{
-	struct op *op = ctx;
-
-	if (err < 0)
-		answer_error(op->fn, op->arg, err, NULL, NULL);
-	else
-		op->fn(op->arg, 200, body, len);
-	op_free(op);
-}
-
-static void get_document(struct ctl *c, const Mw__AdminCall *call,
-			 admin_reply_fn fn, void *arg)
-{
-	ctl_document_read(c, call->query, on_read,
-			  op_new(c, fn, arg, call->query));
-}
-
 /* ---- dispatch ---- */
 
 static const struct {
@@ -552,8 +504,8 @@
 	{"voter/add", true, post_voter_add},
 	{"voter/remove", true, post_voter_remove},
 	{"order", true, post_order},
-	{"document/publish", true, post_document},
-	{"document/read", true, get_document},
+	{"document/publish", true, ctl_document_post},
+	{"document/read", true, ctl_document_get},
 };
 
 struct passed {
--- a/src/control/ctl_document.c
+++ b/src/control/ctl_document.c
@@ -204,3 +204,56 @@
 	list_for_each_entry_safe (r, rtmp, &c->reads, node)
 		read_end(c, r, -MW_ENOLEADER);
 }
+
+/* ---- calls ---- */
+
+/* An answer that is still to be given. */
+struct document_call {
+	admin_reply_fn fn;
+	void *arg;
+};
+
+static struct document_call *call_new(admin_reply_fn fn, void *arg)
+{
+	struct document_call *d = g_new0(struct document_call, 1);
+
+	d->fn = fn;
+	d->arg = arg;
+	return d;
+}
+
+static void answer_call(int err, const char *body, size_t len, void *ctx)
+{
+	struct document_call *d = ctx;
+	int status = 200;
+	AUTO_FREE char *json =
+		err < 0 ? admin_error_json(err, NULL, NULL, &status) : NULL;
+
+	if (json)
+		d->fn(d->arg, status, json, strlen(json));
+	else
+		d->fn(d->arg, status, body ? body : "{}", body ? len : 2);
+	g_free(d);
+}
+
+/* The query holds the name and the revision, "NAME REVISION". */
+void ctl_document_post(struct ctl *c, const Mw__AdminCall *call,
+		       admin_reply_fn fn, void *arg)
+{
+	g_auto(GStrv) part = g_strsplit(call->query, " ", 2);
+	struct document_call *d = call_new(fn, arg);
+
+	if (g_strv_length(part) != 2)
+		answer_call(-MW_EINVAL, NULL, 0, d);
+	else
+		ctl_document_publish(c, part[0],
+				     g_ascii_strtoull(part[1], NULL, 10),
+				     (const char *)call->body.data,
+				     call->body.len, answer_call, d);
+}
+
+void ctl_document_get(struct ctl *c, const Mw__AdminCall *call,
+		      admin_reply_fn fn, void *arg)
+{
+	ctl_document_read(c, call->query, answer_call, call_new(fn, arg));
+}
--- a/src/control/ctl_document.h
+++ b/src/control/ctl_document.h
@@ -36,6 +36,12 @@
 void ctl_document_read(struct ctl *c, const char *name, ctl_document_fn fn,
 		       void *ctx);
 
+/* The same as calls of the operators' interface; see admin_ops.forward. */
+void ctl_document_post(struct ctl *c, const Mw__AdminCall *call,
+		       admin_reply_fn fn, void *arg);
+void ctl_document_get(struct ctl *c, const Mw__AdminCall *call,
+		      admin_reply_fn fn, void *arg);
+
 /* Answers the reads that are confirmed; cheap if none waits. */
 void ctl_document_confirm(struct ctl *c, int64_t now);
 void ctl_document_tick(struct ctl *c, int64_t now);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -26,6 +26,7 @@
  *   follow.c   what the control processes tell
  *   endpoints.c     endpoints, their load and failures
  *   request.c  life of a request: admission, waiting, placing, answer
+ *   choose.c   which endpoint, and which keeps a copy
  *   relay.c    streams of events
  *   move.c     generations whose endpoint leaves
  *
