forward: Spread moves over near targets; log the load of a target

Change: a moved generation prefers near targets, spread over those of like cost; move lines name the load that was counted at the target.

--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -59,6 +59,8 @@
 {
 	static const char *const names[] = {"none", "wait",  "copy",
 					    "stop", "ready", "resume"};
+	const struct target *t =
+		endpoints_target(r->fwd, r->move.target.endpoint);
 	struct slog l = slog_begin("move");
 
 	counter_add(C_MOVES, outcome, 1);
@@ -73,6 +75,13 @@
 	slog_int(&l, "since_us", now - r->move.began_us);
 	slog_int(&l, "copy_age_us", now - r->backup_us);
 	slog_int(&l, "events", (int64_t)r->events);
+	if (t) {
+		slog_int(&l, "target_open", t->open + t->others_open);
+		slog_int(&l, "target_tokens",
+			 (int64_t)(t->tokens + t->others_tokens));
+		slog_int(&l, "target_used", (int64_t)t->used_tokens);
+		slog_int(&l, "need", (int64_t)r->need_tokens);
+	}
 	slog_end(&l);
 }
 
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -32,6 +32,16 @@
 /* A generation slows each token of the others by 0.12 ms; over 30 tokens. */
 #define STREAM_COST_US 3600
 
+/*
+ * All hosts move generations of a leaving endpoint within the same moment and
+ * do not know of each other's choices yet, so they are spread over the
+ * endpoints whose costs differ by less than this.
+ */
+#define MOVING_SPREAD_US 120000
+
+/* What a token's memory takes longer to another data centre. */
+#define MOVING_FAR_TOKEN_US 55
+
 /* A request that waits in an engine's queue waits for memory or for a prompt
  * of 2,000 tokens to be read. */
 #define WAITING_COST_US 250000
@@ -63,6 +73,11 @@
 	int64_t us = distance_us[t->distance < 2 ? t->distance : 2];
 
 	us += t->slow_us;
+	if (ask->moving) {
+		us += (int64_t)(t->tie % MOVING_SPREAD_US);
+		if (t->distance)
+			us += (int64_t)ask->need_tokens * MOVING_FAR_TOKEN_US;
+	}
 	if (!ask->generation) {
 		/* Beyond the slots requests wait. */
 		int64_t over = (int64_t)t->open - (int64_t)t->slots + 1;
