forward: Report work to another control process when sums are missing

Change: after 450 ms without sums a host reports to another control process for 4 s; a log line says so.

--- a/src/forward/follow.c
+++ b/src/forward/follow.c
@@ -20,6 +20,13 @@
 #define USE_MIN_US (100 * USEC_PER_MSEC)
 #define USE_MAX_US (700 * USEC_PER_MSEC)
 
+/*
+ * Sums come every 100 ms; after four missing ones, and a round trip, the
+ * process that sends them is frozen or cut off.  It is asked again later.
+ */
+#define TOTALS_MISSING_US (450 * USEC_PER_MSEC)
+#define TOTALS_AVOID_US (4 * USEC_PER_SEC)
+
 /* Name of the document that holds the plan. */
 #define PLAN_DOCUMENT "documents/plan"
 
@@ -143,6 +150,7 @@
 			endpoints_take(f, frame->endpoint_rows->rows[i], now);
 		break;
 	case MW__FRAME__BODY_USE_TOTALS:
+		f->totals_us = now;
 		endpoints_totals(f, frame->use_totals, now);
 		break;
 	default:
@@ -220,14 +228,19 @@
 		g_hash_table_destroy(f->known);
 }
 
-/* A control process of the own data centre, otherwise any. */
-static struct peer *nearest(struct fwd *f)
+/*
+ * A control process of the own data centre, otherwise any; one that is
+ * connected but did not answer the reports is passed over for a while.
+ */
+static struct peer *nearest(struct fwd *f, int64_t now)
 {
 	struct peer *any = NULL;
+	bool avoid = now < f->avoid_until_us;
 
 	for (struct peer *p = peer_next(f->peers, NULL); p;
 	     p = peer_next(f->peers, p)) {
-		if (!is_control(p))
+		if (!is_control(p) ||
+		    (avoid && !strcmp(peer_hello(p)->host, f->avoid_host)))
 			continue;
 		if (!strcmp(peer_hello(p)->dc, f->conf->dc))
 			return p;
@@ -236,13 +249,33 @@
 	return any;
 }
 
+/* Reports go to another process when the sums of the others do not come. */
+static void watch_totals(struct fwd *f, struct peer *p, int64_t now)
+{
+	const char *host = peer_hello(p)->host;
+
+	if (strcmp(f->reported_host, host) != 0) {
+		g_strlcpy(f->reported_host, host, sizeof(f->reported_host));
+		f->totals_us = now;
+	}
+	if (now - f->totals_us < TOTALS_MISSING_US)
+		return;
+	struct slog l = slog_begin("totals_missing");
+	slog_str(&l, "peer", host);
+	slog_int(&l, "age_us", now - f->totals_us);
+	slog_end(&l);
+	g_strlcpy(f->avoid_host, host, sizeof(f->avoid_host));
+	f->avoid_until_us = now + TOTALS_AVOID_US;
+}
+
 static void report_use(struct fwd *f, int64_t now)
 {
-	struct peer *p = nearest(f);
+	struct peer *p = nearest(f, now);
 	Mw__Frame frame = MW__FRAME__INIT;
 
 	if (!p)
 		return;
+	watch_totals(f, p, now);
 	f->use_sent_us = now;
 	f->use_changed = false;
 	frame.body_case = MW__FRAME__BODY_USE_REPORT;
@@ -258,7 +291,7 @@
 	if (age >= USE_MAX_US || (f->use_changed && age >= USE_MIN_US))
 		report_use(f, now);
 	if (f->tree_wanted > f->tree_version && !f->tree_asked) {
-		struct peer *p = nearest(f);
+		struct peer *p = nearest(f, now);
 		if (p)
 			ask_tree(f, p);
 	}
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -91,6 +91,10 @@
 	uint64_t use_seq;
 	int64_t use_sent_us;
 	bool use_changed;
+	int64_t totals_us;	/* when sums came last */
+	char reported_host[64]; /* control process that gets the reports */
+	char avoid_host[64];	/* one that did not answer them */
+	int64_t avoid_until_us;
 	unsigned int hosts; /* that forward, this one included */
 
 	/* endpoints.c */
