place: No more work that may wait for an engine with a queue of its own

Cause: reports waited up to 10 s in the queues of engines that were short of memory, though the hosts had counted room (p50 of the first event 1.7 s in the flood of the second grown site).

Change: an engine that reports two waiting requests or more gets no more work that may wait.

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -17,6 +17,12 @@
  * now and then, and an engine that is out of memory preempts. */
 #define MEMORY_PERCENT 94
 
+/*
+ * An engine whose own queue holds so many requests gets no more work that may
+ * wait: it is short of memory, whatever the hosts have counted.
+ */
+#define WAITING_MAX 2
+
 /*
  * A generation that is moved may go beyond: the forecast is for the end of all
  * that run, and they do not end together.
@@ -62,7 +68,7 @@
 		slots = slots * SHARED_PERCENT / 100;
 		memory = memory * SHARED_PERCENT / 100;
 	}
-	if (t->open >= slots)
+	if (t->open >= slots || (!ask->urgent && t->waiting >= WAITING_MAX))
 		return false;
 	/* A request alone may be larger than the part it may fill. */
 	return !t->open || t->tokens + ask->need_tokens <= memory;
