--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -9,9 +9,9 @@
 /*
  * Part of the slots and of the memory that less urgent work may fill, percent.
  * Short urgent answers come 1.4 times as often as long ones and stay a
- * fiftieth of their time, so a tenth is enough for them.
+ * fiftieth of their time, so less than a tenth is enough for them.
  */
-#define SHARED_PERCENT 80
+#define SHARED_PERCENT 92
 
 /* Expected memory may reach this part of an engine: sums of means are exceeded
  * now and then, and an engine that is out of memory preempts. */
