--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -51,6 +51,55 @@
 }
 END_TEST
 
+/*
+ * Guards against reports that wait ten seconds in the queue of an engine which
+ * is short of memory that the hosts do not count.
+ */
+START_TEST(test_engine_queue)
+{
+	struct place_target t[] = {engine(2, 8000, 0), engine(6, 24000, 0)};
+	struct place_ask urgent = report;
+	size_t i = 9;
+
+	t[0].waiting = 3;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	t[1].usable = false;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_FULL);
+	urgent.urgent = true;
+	ck_assert_int_eq(place_choose(t, 2, &urgent, &i), PLACE_OK);
+}
+END_TEST
+
+/*
+ * Guards against all hosts moving their generations to one endpoint at the
+ * same moment, and to another data centre while a near one has room.
+ */
+START_TEST(test_moves_spread)
+{
+	struct place_ask moving = report;
+	unsigned int first = 0;
+	GRand *rand = g_rand_new_with_seed(3);
+
+	moving.moving = true;
+	for (int n = 0; n < 200; n++) {
+		struct place_target t[] = {engine(4, 14000, 0),
+					   engine(4, 15000, 0),
+					   engine(0, 0, 0)};
+		size_t i = 9;
+		t[2].distance = 2;
+		for (int k = 0; k < 3; k++)
+			t[k].tie = g_rand_int(rand);
+		ck_assert_int_eq(place_choose(t, 3, &moving, &i), PLACE_OK);
+		ck_assert_uint_ne(i, 2);
+		first += i == 0;
+	}
+	ck_assert_uint_gt(first, 60);
+	ck_assert_uint_lt(first, 140);
+	g_rand_free(rand);
+}
+END_TEST
+
 /* Guards against "full" being said where nothing serves, and the reverse. */
 START_TEST(test_unusable)
 {
@@ -157,7 +206,9 @@
 				      test_distance,
 				      test_backup,
 				      test_herd,
-				      test_budget};
+				      test_budget,
+				      test_engine_queue,
+				      test_moves_spread};
 
 	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
 }
