--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -49,6 +49,9 @@
 #define AGAIN_US (300 * USEC_PER_MSEC)
 #define WAIT_MAX_US (1200 * USEC_PER_MSEC)
 
+/* A leaving endpoint must get no work 2.5 s after its notice. */
+#define SOURCE_AGAIN_US (1500 * USEC_PER_MSEC)
+
 /* Room for a copy on order is looked for again after this. */
 #define ROOM_AGAIN_US (120 * USEC_PER_MSEC)
 
@@ -135,8 +138,14 @@
 	struct target *t = endpoints_target(r->fwd, id);
 
 	r->move.status = status;
-	if (status != 200 || !whole || !t)
+	if (status != 200)
+		return false; /* the text of the refusal follows */
+	if (!whole || !t) {
+		fetch_cancel(r->move.next);
+		r->move.next = NULL;
+		move_refused(r, now);
 		return false;
+	}
 	log_move(r, "done", now);
 	struct fetch *next = r->move.next;
 	r->move.next = NULL;
@@ -172,7 +181,7 @@
 		return;
 	}
 	if (at_source(r) || r->move.from_backup || r->move.at_source ||
-	    !source) {
+	    !source || now - r->move.began_us > SOURCE_AGAIN_US) {
 		another_way(r, now);
 		return;
 	}
