--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -58,7 +58,14 @@
 				 "without a shared key");
 	if (conf->control_role)
 		return run_control(conf, loop, iface);
-	return iface ? run_forward(conf, loop, iface) : run_entry(conf, loop);
+	if (iface)
+		return run_forward(conf, loop, iface);
+	if (!conf->control_nr) {
+		log_error("main", "--seeds: an entry host of this interface "
+				  "needs --control");
+		return -MW_EINVAL;
+	}
+	return run_entry(conf, loop);
 }
 
 int daemon_main(int argc, char **argv, const struct iface *iface)
