--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -187,7 +187,7 @@
 
 	for (int h = 0; h < 8; h++)
 		budget_init(&b[h], 40, 8);
-	for (int n = 0; n < 4000; n++) {
+	for (int n = 0; n < 800; n++) {
 		budget_request(&b[n % 8]);
 		requests++;
 		while (budget_repeat(&b[n % 8]))
