--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,8 @@
 CC ?= gcc
 PACKAGES = pkg-config libev-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libprotobuf-c-dev libglib2.0-dev check libjansson-dev libsodium-dev \
-	libxxhash-dev clang-format clang-tidy curl
-PKGS = libmicrohttpd libcurl libprotobuf-c glib-2.0 jansson libsodium libxxhash
+	libxxhash-dev zlib1g-dev clang-format clang-tidy curl
+PKGS = libmicrohttpd libcurl libprotobuf-c glib-2.0 jansson libsodium libxxhash zlib
 MODE ?= release
 B := build/$(MODE)
 
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -78,6 +78,9 @@
 	struct sm *sm;
 	uint64_t applied;
 	struct tree *versions[CTL_VERSIONS_KEPT]; /* by version modulo */
+	uint8_t *packed; /* compressed tree of packed_version */
+	size_t packed_len;
+	uint64_t packed_version;
 	uint64_t snap_index;
 	GHashTable *waiting; /* index to struct waiter */
 	ev_timer tick;
--- a/src/forward/follow.c
+++ b/src/forward/follow.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include <jansson.h>
+#include <zlib.h>
 
 #include "base/cleanup.h"
 #include "base/clock.h"
@@ -10,8 +11,12 @@
 #include "obs/slog.h"
 #include "state/tree.h"
 
-/* A tree is asked for again after this without an answer. */
-#define TREE_TIMEOUT_MS 1500
+/*
+ * A tree is asked for at another process after this without an answer.  A
+ * version must be in force 2.5 s after it was accepted, and two processes may
+ * be frozen; a large tree takes 100 ms over the slowest link.
+ */
+#define TREE_TIMEOUT_MS 800
 
 /*
  * Reports of work: when something changed, and at least this often, so that
@@ -81,15 +86,42 @@
 
 static void ask_tree(struct fwd *f, struct peer *p);
 
+/* NULL if the bytes are not a tree of that length (logged). */
+static char *unpack_tree(const Mw__TreeSnapshot *snap)
+{
+	uLongf n = (uLongf)snap->tree_len;
+	g_autofree char *out = NULL;
+
+	if (snap->tree_len && snap->tree_len <= TREE_JSON_MAX) {
+		out = g_malloc(snap->tree_len);
+		if (uncompress((Bytef *)out, &n, snap->tree_z.data,
+			       snap->tree_z.len) == Z_OK &&
+		    n == snap->tree_len)
+			return steal_ptr(&out);
+	}
+	log_error("follow", "version %" G_GUINT64_FORMAT " is damaged",
+		  snap->version);
+	return NULL;
+}
+
 static void take_tree(struct fwd *f, const Mw__TreeSnapshot *snap)
 {
+	const char *json = (const char *)snap->tree.data;
+	size_t len = snap->tree.len;
+	g_autofree char *unpacked = NULL;
 	struct tree_err err;
 	struct tree *t;
 
-	if (snap->version <= f->tree_version || !snap->tree.len)
+	if (snap->version <= f->tree_version)
+		return;
+	if (snap->tree_z.len) {
+		unpacked = unpack_tree(snap);
+		json = unpacked;
+		len = (size_t)snap->tree_len;
+	}
+	if (!json || !len)
 		return;
-	int r = tree_parse((const char *)snap->tree.data, snap->tree.len, &t,
-			   &err);
+	int r = tree_parse(json, len, &t, &err);
 	if (r < 0) {
 		log_error("follow",
 			  "version %" G_GUINT64_FORMAT " cannot be read: %s %s",
@@ -106,6 +138,13 @@
 	struct fwd *f = ctx;
 
 	f->tree_asked = false;
+	if (err < 0) {
+		struct slog l = slog_begin("tree_unanswered");
+		slog_int(&l, "wanted", (int64_t)f->tree_wanted);
+		slog_int(&l, "have", (int64_t)f->tree_version);
+		slog_str(&l, "error", err_info(err)->kind);
+		slog_end(&l);
+	}
 	if (err == 0 && reply->body_case == MW__FRAME__BODY_TREE_SNAPSHOT)
 		take_tree(f, reply->tree_snapshot);
 }
@@ -116,10 +155,31 @@
 	Mw__TreeGet get = MW__TREE_GET__INIT;
 
 	get.have = f->tree_version;
+	get.compressed = true;
 	frame.body_case = MW__FRAME__BODY_TREE_GET;
 	frame.tree_get = &get;
-	if (peer_call(p, &frame, TREE_TIMEOUT_MS, on_tree, f) == 0)
-		f->tree_asked = true;
+	if (peer_call(p, &frame, TREE_TIMEOUT_MS, on_tree, f) != 0)
+		return;
+	f->tree_asked = true;
+	f->tree_asks++;
+}
+
+/* The control processes in turn, so that one that is frozen is asked once. */
+static struct peer *next_to_ask(struct fwd *f)
+{
+	unsigned int n = 0, k;
+
+	for (struct peer *p = peer_next(f->peers, NULL); p;
+	     p = peer_next(f->peers, p))
+		n += is_control(p);
+	if (!n)
+		return NULL;
+	k = f->tree_asks % n;
+	for (struct peer *p = peer_next(f->peers, NULL); p;
+	     p = peer_next(f->peers, p))
+		if (is_control(p) && !k--)
+			return p;
+	return NULL;
 }
 
 static void take_news(struct fwd *f, struct peer *p, const Mw__TreeNews *news)
@@ -291,7 +351,7 @@
 	if (age >= USE_MAX_US || (f->use_changed && age >= USE_MIN_US))
 		report_use(f, now);
 	if (f->tree_wanted > f->tree_version && !f->tree_asked) {
-		struct peer *p = nearest(f, now);
+		struct peer *p = next_to_ask(f);
 		if (p)
 			ask_tree(f, p);
 	}
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -87,6 +87,7 @@
 	uint64_t tree_version;
 	uint64_t tree_wanted;
 	bool tree_asked;
+	unsigned int tree_asks;
 	struct plan *plan; /* NULL until one is known */
 	uint64_t use_seq;
 	int64_t use_sent_us;
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -3887,7 +3887,7 @@
   (ProtobufCMessageInit) mw__activate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__tree_get__field_descriptors[1] =
+static const ProtobufCFieldDescriptor mw__tree_get__field_descriptors[2] =
 {
   {
     "have",
@@ -3901,14 +3901,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "compressed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__TreeGet, compressed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__tree_get__field_indices_by_name[] = {
+  1,   /* field[1] = compressed */
   0,   /* field[0] = have */
 };
 static const ProtobufCIntRange mw__tree_get__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mw__tree_get__descriptor =
 {
@@ -3918,14 +3931,14 @@
   "Mw__TreeGet",
   "mw",
   sizeof(Mw__TreeGet),
-  1,
+  2,
   mw__tree_get__field_descriptors,
   mw__tree_get__field_indices_by_name,
   1,  mw__tree_get__number_ranges,
   (ProtobufCMessageInit) mw__tree_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__tree_snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mw__tree_snapshot__field_descriptors[9] =
 {
   {
     "version",
@@ -4011,6 +4024,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tree_z",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mw__TreeSnapshot, tree_z),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tree_len",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__TreeSnapshot, tree_len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__tree_snapshot__field_indices_by_name[] = {
   6,   /* field[6] = members */
@@ -4019,12 +4056,14 @@
   3,   /* field[3] = pending_tree */
   2,   /* field[2] = stale */
   1,   /* field[1] = tree */
+  8,   /* field[8] = tree_len */
+  7,   /* field[7] = tree_z */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange mw__tree_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mw__tree_snapshot__descriptor =
 {
@@ -4034,7 +4073,7 @@
   "Mw__TreeSnapshot",
   "mw",
   sizeof(Mw__TreeSnapshot),
-  7,
+  9,
   mw__tree_snapshot__field_descriptors,
   mw__tree_snapshot__field_indices_by_name,
   1,  mw__tree_snapshot__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -270,10 +270,14 @@
    * version in force on the asking host
    */
   uint64_t have;
+  /*
+   * it takes a compressed tree
+   */
+  protobuf_c_boolean compressed;
 };
 #define MW__TREE_GET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__tree_get__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Mw__TreeSnapshot
@@ -298,10 +302,18 @@
    * registered hosts known to the sender, if stale
    */
   Mw__Grant *members;
+  /*
+   * instead of tree: the same, compressed (zlib)
+   */
+  ProtobufCBinaryData tree_z;
+  /*
+   * its length uncompressed
+   */
+  uint64_t tree_len;
 };
 #define MW__TREE_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__tree_snapshot__descriptor) \
-    , 0, {0,NULL}, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, NULL }
+    , 0, {0,NULL}, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, NULL, {0,NULL}, 0 }
 
 
 struct  Mw__Edit
