forward: Move generations nearby, and place queues in turns

Change: moves go to endpoints of the same data centre, shared out between the sources that leave together by a hash that all hosts compute alike, and drawn by free memory. The generation goes on from the first copy; the source is not stopped for a second one. There are no continuous copies. Hosts report what waits on them, and place in each round the share of their queue that the room has in the queues of all (turn.h). Unread prompts at an engine are bounded. What would wait too long behind all queues is refused at once; requests wait a sixth of their aim instead of half.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -109,6 +109,19 @@
 	sum->repeats += row->repeats;
 }
 
+static void add_queue(GHashTable *sums, const Mw__QueueRow *row)
+{
+	Mw__QueueRow *sum = g_hash_table_lookup(sums, row->service);
+
+	if (!sum) {
+		sum = g_new0(Mw__QueueRow, 1);
+		mw__queue_row__init(sum);
+		sum->service = row->service;
+		g_hash_table_insert(sums, sum->service, sum);
+	}
+	sum->tokens += row->tokens;
+}
+
 /* Moves the values of a table into an array. */
 static void **take_values(GHashTable *t, size_t *n)
 {
@@ -128,6 +141,8 @@
 	g_autoptr(GHashTable) rows = g_hash_table_new(g_str_hash, g_str_equal);
 	g_autoptr(GHashTable) repeats =
 		g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GHashTable) queues =
+		g_hash_table_new(g_str_hash, g_str_equal);
 	Mw__UseTotals *t = g_new0(Mw__UseTotals, 1);
 	GHashTableIter iter;
 	struct host *h;
@@ -145,9 +160,12 @@
 			add_use(rows, h->report->rows[i]);
 		for (size_t i = 0; i < h->report->n_repeats; i++)
 			add_repeat(repeats, h->report->repeats[i]);
+		for (size_t i = 0; i < h->report->n_queues; i++)
+			add_queue(queues, h->report->queues[i]);
 	}
 	t->rows = (Mw__UseRow **)take_values(rows, &t->n_rows);
 	t->repeats = (Mw__RepeatRow **)take_values(repeats, &t->n_repeats);
+	t->queues = (Mw__QueueRow **)take_values(queues, &t->n_queues);
 	return t;
 }
 
@@ -158,6 +176,9 @@
 		g_free(t->rows[i]);
 	for (size_t i = 0; i < t->n_repeats; i++)
 		g_free(t->repeats[i]);
+	for (size_t i = 0; i < t->n_queues; i++)
+		g_free(t->queues[i]);
+	g_free(t->queues);
 	g_free(t->rows);
 	g_free(t->repeats);
 	g_free(t);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -5,17 +5,13 @@
 #include "base/clock.h"
 #include "forward/place.h"
 
+#include <xxhash.h>
+
 /*
  * What this host knows of the endpoints, as place.c needs it, and the copies
  * of memory that are counted there.
  */
 
-/*
- * A generation that is expected to make fewer tokens ends within the notice
- * that a leaving endpoint gives; 100 tokens take about a second.
- */
-#define BACKUP_MIN_TOKENS 100
-
 /* Work whose answer is aimed at within this time is urgent. */
 #define URGENT_AIM_US (2 * USEC_PER_SEC)
 
@@ -70,17 +66,68 @@
 	return c;
 }
 
+bool request_is_urgent(const struct request *r)
+{
+	return r->route->aim_us < URGENT_AIM_US;
+}
+
+/*
+ * The same draw on all hosts, so that they agree without a message: each target
+ * near endpoints that leave together belongs to one of them.
+ */
+static uint64_t claim(const struct target *source, const struct target *t)
+{
+	XXH64_hash_t seed = XXH64(source->id, strlen(source->id), 0);
+
+	return XXH64(t->id, strlen(t->id), seed);
+}
+
+static bool leaves_with_work(const struct target *t)
+{
+	return !t->serving && !t->left && t->tokens + t->others_tokens;
+}
+
+static void share_targets(struct choice *c, const struct request *r)
+{
+	const struct target *source = endpoints_target(r->fwd, r->move.source);
+
+	for (size_t i = 0; source && i < c->n; i++) {
+		uint64_t own = claim(source, c->targets[i]);
+
+		for (size_t j = 0; j < c->n && !c->list[i].taken; j++)
+			c->list[i].taken =
+				c->targets[j] != source &&
+				!strcmp(c->targets[j]->dc, source->dc) &&
+				leaves_with_work(c->targets[j]) &&
+				claim(c->targets[j], c->targets[i]) > own;
+	}
+}
+
+struct place_sums request_sums(struct request *r, int64_t now)
+{
+	struct choice c = list_targets(r, "", r->fwd->conf->dc, now);
+	struct place_sums s = place_sum(c.list, c.n);
+
+	choice_release(&c);
+	return s;
+}
+
 struct target *request_choose(struct request *r, const char *except,
 			      const char *near, bool *any, int64_t now)
 {
 	struct place_ask ask = {.generation = r->generation,
-				.urgent = r->route->aim_us < URGENT_AIM_US,
-				.moving = r->move.state != MOVE_NONE,
+				.urgent = request_is_urgent(r),
 				.prompt_tokens = r->ask.prompt_tokens,
 				.need_tokens = r->need_tokens};
 	struct choice c = list_targets(r, except, near, now);
 	size_t index = 0;
-	enum place_result res = place_choose(c.list, c.n, &ask, &index);
+
+	if (r->move.state != MOVE_NONE)
+		share_targets(&c, r);
+	enum place_result res =
+		r->move.state != MOVE_NONE
+			? place_move(c.list, c.n, r->need_tokens, &index)
+			: place_choose(c.list, c.n, &ask, &index);
 	struct target *t = res == PLACE_OK ? c.targets[index] : NULL;
 
 	*any = res != PLACE_NONE;
@@ -106,23 +153,3 @@
 	*c = (struct copy){0};
 	r->fwd->use_changed = true;
 }
-
-/* Only generations that last are worth a copy. */
-const char *request_begin_backup(struct request *r, struct copy *c,
-				 const struct target *source, int64_t now)
-{
-	size_t index = 0;
-
-	request_drop_copy(r, c);
-	if (!r->generation || !r->service->backups ||
-	    r->need_tokens < r->ask.prompt_tokens + BACKUP_MIN_TOKENS)
-		return NULL;
-	struct choice ch = list_targets(r, source->id, source->dc, now);
-	bool found = place_backup(ch.list, ch.n, r->need_tokens, &index);
-	struct target *t = found ? ch.targets[index] : NULL;
-	choice_release(&ch);
-	if (!t)
-		return NULL;
-	request_take_copy(r, c, t);
-	return t->addr;
-}
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -39,7 +39,7 @@
 	f->registry = registry_new();
 	f->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   target_free);
-	f->budgets =
+	f->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->hosts = HOSTS_ASSUMED;
 }
@@ -48,7 +48,7 @@
 {
 	registry_free(f->registry);
 	g_hash_table_destroy(f->targets);
-	g_hash_table_destroy(f->budgets);
+	g_hash_table_destroy(f->services);
 }
 
 struct target *endpoints_target(struct fwd *f, const char *id)
@@ -119,6 +119,7 @@
 void endpoints_totals(struct fwd *f, const Mw__UseTotals *totals, int64_t now)
 {
 	GHashTableIter iter;
+	struct service_state *s;
 	struct target *t;
 	bool freed = false;
 
@@ -142,6 +143,12 @@
 		t->used_tokens = row->used;
 		t->waiting = row->waiting;
 	}
+	g_hash_table_iter_init(&iter, f->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		s->others_queued = 0;
+	for (size_t i = 0; i < totals->n_queues; i++)
+		endpoints_service(f, totals->queues[i]->service)
+			->others_queued = totals->queues[i]->tokens;
 	if (freed)
 		request_pump(f, now);
 }
@@ -151,6 +158,7 @@
 	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
 	GHashTableIter iter;
 	struct target *t;
+	void *name;
 
 	mw__use_report__init(r);
 	r->host = f->conf->host;
@@ -169,11 +177,26 @@
 		row->prefill = t->prefill;
 		r->rows[r->n_rows++] = row;
 	}
+	r->queues = g_new0(Mw__QueueRow *, g_hash_table_size(f->services) + 1);
+	g_hash_table_iter_init(&iter, f->services);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		uint64_t tokens = request_queued(f, name);
+		if (!tokens)
+			continue;
+		Mw__QueueRow *row = g_new0(Mw__QueueRow, 1);
+		mw__queue_row__init(row);
+		row->service = name;
+		row->tokens = tokens;
+		r->queues[r->n_queues++] = row;
+	}
 	return r;
 }
 
 void endpoints_use_free(Mw__UseReport *r)
 {
+	for (size_t i = 0; i < r->n_queues; i++)
+		g_free(r->queues[i]);
+	g_free(r->queues);
 	for (size_t i = 0; i < r->n_rows; i++)
 		g_free(r->rows[i]);
 	g_free(r->rows);
@@ -201,17 +224,17 @@
 	t->failures = 0;
 }
 
-struct budget *endpoints_budget(struct fwd *f, const char *service)
+struct service_state *endpoints_service(struct fwd *f, const char *service)
 {
-	struct service_budget *b = g_hash_table_lookup(f->budgets, service);
+	struct service_state *s = g_hash_table_lookup(f->services, service);
 
-	if (!b) {
-		b = g_new0(struct service_budget, 1);
-		budget_init(&b->budget, SPARE_REPEATS, f->hosts);
-		g_hash_table_insert(f->budgets, g_strdup(service), b);
+	if (!s) {
+		s = g_new0(struct service_state, 1);
+		budget_init(&s->budget, SPARE_REPEATS, f->hosts);
+		g_hash_table_insert(f->services, g_strdup(service), s);
 	}
-	budget_hosts(&b->budget, SPARE_REPEATS, MAX(f->hosts, 2u));
-	return &b->budget;
+	budget_hosts(&s->budget, SPARE_REPEATS, MAX(f->hosts, 2u));
+	return s;
 }
 
 /* Drops endpoints that have left and hold no request of this host. */
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -11,6 +11,7 @@
 #include "conf/conf.h"
 #include "forward/budget.h"
 #include "forward/plan.h"
+#include "forward/turn.h"
 #include "iface/iface.h"
 #include "net/fetch.h"
 #include "net/httpd.h"
@@ -64,9 +65,11 @@
 	int64_t link_free_us; /* moves from and to it are sent one by one */
 };
 
-/* Repeats of one service. */
-struct service_budget {
-	struct budget budget;
+/* What this host knows of one service. */
+struct service_state {
+	struct budget budget; /* of repeats */
+	struct turn turn;
+	uint64_t others_queued; /* tokens that wait on other hosts */
 };
 
 struct fwd {
@@ -100,8 +103,8 @@
 
 	/* endpoints.c */
 	struct registry *registry;
-	GHashTable *targets; /* id to struct target */
-	GHashTable *budgets; /* service to struct service_budget */
+	GHashTable *targets;  /* id to struct target */
+	GHashTable *services; /* name to struct service_state */
 
 	/* request.c */
 	struct est *est;      /* output tokens, by route */
@@ -138,12 +141,14 @@
 /* A request could not be delivered, or the endpoint broke off. */
 void endpoints_failed(struct fwd *f, struct target *t, int64_t now);
 void endpoints_worked(struct fwd *f, struct target *t, int64_t now);
-struct budget *endpoints_budget(struct fwd *f, const char *service);
+struct service_state *endpoints_service(struct fwd *f, const char *service);
 void endpoints_tick(struct fwd *f, int64_t now);
 
 /* ---- request.c ---- */
 void request_accept(void *ctx, struct httpd_req *http);
 void request_tick(struct fwd *f, int64_t now);
+/* Tokens of the generations that wait here for the service. */
+uint64_t request_queued(struct fwd *f, const char *service);
 /* Tries to place what waits. */
 void request_pump(struct fwd *f, int64_t now);
 
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -1,5 +1,8 @@
 #include "forward/place.h"
 
+#include <math.h>
+#include <glib.h>
+
 /*
  * Prompt tokens that an engine reads in a millisecond beside its generations:
  * it reads 112 tokens in 8 ms and then makes a token for each in 7 ms or more.
@@ -8,10 +11,10 @@
 
 /*
  * Part of the slots and of the memory that less urgent work may fill, percent.
- * Short urgent answers come 1.4 times as often as long ones and stay a
- * fiftieth of their time, so less than a tenth is enough for them.
+ * A sixth of the endpoints may leave at a time, and the others take over what
+ * they run; the rest is for short urgent answers.
  */
-#define SHARED_PERCENT 92
+#define SHARED_PERCENT 80
 
 /* Expected memory may reach this part of an engine: sums of means are exceeded
  * now and then, and an engine that is out of memory preempts. */
@@ -23,6 +26,13 @@
  */
 #define WAITING_MAX 2
 
+/*
+ * Prompt tokens that wait to be read at one engine.  They take a good second;
+ * what waits longer is lost when the engine leaves, and could as well wait on
+ * a host, which may send it to any engine.
+ */
+#define READ_MAX_TOKENS 8400
+
 /*
  * A generation that is moved may go beyond: the forecast is for the end of all
  * that run, and they do not end together.
@@ -38,16 +48,6 @@
 /* A generation slows each token of the others by 0.12 ms; over 30 tokens. */
 #define STREAM_COST_US 3600
 
-/*
- * All hosts move generations of a leaving endpoint within the same moment and
- * do not know of each other's choices yet, so they are spread over the
- * endpoints whose costs differ by less than this.
- */
-#define MOVING_SPREAD_US 120000
-
-/* What a token's memory takes longer to another data centre. */
-#define MOVING_FAR_TOKEN_US 55
-
 /* A request that waits in an engine's queue waits for memory or for a prompt
  * of 2,000 tokens to be read. */
 #define WAITING_COST_US 250000
@@ -62,28 +62,44 @@
 
 	if (!ask->generation)
 		return true;
-	if (ask->moving) {
-		memory = t->memory_tokens * MOVING_PERCENT / 100;
-	} else if (!ask->urgent) {
+	if (!ask->urgent) {
 		slots = slots * SHARED_PERCENT / 100;
 		memory = memory * SHARED_PERCENT / 100;
 	}
 	if (t->open >= slots || (!ask->urgent && t->waiting >= WAITING_MAX))
 		return false;
+	if (t->prefill && t->prefill + ask->prompt_tokens > READ_MAX_TOKENS)
+		return false;
 	/* A request alone may be larger than the part it may fill. */
 	return !t->open || t->tokens + ask->need_tokens <= memory;
 }
 
+struct place_sums place_sum(const struct place_target *targets, size_t n)
+{
+	struct place_sums s = {0};
+
+	for (size_t i = 0; i < n; i++) {
+		const struct place_target *t = &targets[i];
+		uint64_t memory = t->memory_tokens * MEMORY_PERCENT / 100 *
+				  SHARED_PERCENT / 100;
+		unsigned int slots = t->slots * SHARED_PERCENT / 100;
+
+		if (!t->usable)
+			continue;
+		s.memory += t->memory_tokens;
+		if (t->open >= slots || t->waiting >= WAITING_MAX ||
+		    t->tokens >= memory || t->prefill >= READ_MAX_TOKENS)
+			continue;
+		s.room += MIN(memory - t->tokens, READ_MAX_TOKENS - t->prefill);
+	}
+	return s;
+}
+
 static int64_t cost(const struct place_target *t, const struct place_ask *ask)
 {
 	int64_t us = distance_us[t->distance < 2 ? t->distance : 2];
 
 	us += t->slow_us;
-	if (ask->moving) {
-		us += (int64_t)(t->tie % MOVING_SPREAD_US);
-		if (t->distance)
-			us += (int64_t)ask->need_tokens * MOVING_FAR_TOKEN_US;
-	}
 	if (!ask->generation) {
 		/* Beyond the slots requests wait. */
 		int64_t over = (int64_t)t->open - (int64_t)t->slots + 1;
@@ -128,36 +144,63 @@
 }
 
 /*
- * Memory that may be taken once a copy is added, percent.  Endpoints are
- * reclaimed a sixth at a time, so what is left must take their work as well.
+ * Groups that are used: a copy to another data centre would hold both links for
+ * twice as long, and what waits behind it for either is lost with its source.
  */
-#define BACKUP_PERCENT 60
+#define MOVE_GROUPS 2
 
-/* A copy to another data centre takes twice as long; percent of a memory. */
-#define BACKUP_FAR_PERCENT 40
+static uint64_t room_for_moves(const struct place_target *t)
+{
+	uint64_t memory = t->memory_tokens * MOVING_PERCENT / 100;
 
-bool place_backup(const struct place_target *targets, size_t n,
-		  uint64_t need_tokens, size_t *index)
+	if (!t->usable || t->excluded || t->open >= t->slots)
+		return 0;
+	return memory > t->tokens ? memory - t->tokens : 0;
+}
+
+/*
+ * Of random variables with an exponential distribution the least one is that
+ * of a rate with the probability of its share in the sum of rates.
+ */
+static double draw(const struct place_target *t, double rate)
 {
-	uint64_t best = 0;
-	bool found = false;
+	double u = ((double)t->tie + 1) / ((double)UINT32_MAX + 2);
 
-	for (size_t i = 0; i < n; i++) {
-		const struct place_target *t = &targets[i];
-		uint64_t after = t->tokens + need_tokens;
-		uint64_t rank;
+	return -log(u) / rate;
+}
 
-		if (!t->usable || t->excluded ||
-		    after > t->memory_tokens * BACKUP_PERCENT / 100)
+/* The group of targets that are tried together; less goes first. */
+static unsigned int move_group(const struct place_target *t)
+{
+	if (t->distance)
+		return 2;
+	return t->taken ? 1 : 0;
+}
+
+enum place_result place_move(const struct place_target *targets, size_t n,
+			     uint64_t need_tokens, size_t *index)
+{
+	enum place_result result = PLACE_NONE;
+	unsigned int group = MOVE_GROUPS;
+	double best = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t room = room_for_moves(&targets[i]);
+		unsigned int g = move_group(&targets[i]);
+
+		if (targets[i].usable && !targets[i].excluded &&
+		    result == PLACE_NONE)
+			result = PLACE_FULL;
+		if (room < need_tokens || !room || g > group ||
+		    g >= MOVE_GROUPS)
 			continue;
-		rank = after + (t->distance ? t->memory_tokens *
-						      BACKUP_FAR_PERCENT / 100
-					    : 0);
-		if (found && rank >= best)
+		double d = draw(&targets[i], (double)room);
+		if (g == group && d >= best)
 			continue;
-		found = true;
-		best = rank;
+		result = PLACE_OK;
+		group = g;
+		best = d;
 		*index = i;
 	}
-	return found;
+	return result;
 }
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -20,6 +20,7 @@
 	bool usable;   /* serving, and not avoided after a failure */
 	bool silent;   /* not announced for some time; used last */
 	bool excluded; /* the request was there already */
+	bool taken;    /* kept for what leaves another endpoint */
 	unsigned int
 		distance; /* 0: same data centre, 1: same region, 2: other */
 	unsigned int slots;
@@ -30,13 +31,12 @@
 	uint64_t prefill;     /* prompt tokens not read yet */
 	unsigned int waiting; /* requests in its own queue */
 	int64_t slow_us; /* recent time to the first answer above the usual */
-	uint64_t tie;	 /* breaks ties; different for each host and request */
+	uint32_t tie;	 /* random; different for each host and request */
 };
 
 struct place_ask {
 	bool generation;
 	bool urgent; /* may use what is kept for urgent work */
-	bool moving; /* runs already, and is lost if it is not moved */
 	uint32_t prompt_tokens;
 	uint64_t need_tokens; /* memory expected at its end */
 };
@@ -51,13 +51,24 @@
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_ask *ask, size_t *index);
 
+struct place_sums {
+	uint64_t room;	 /* for work that may wait, tokens */
+	uint64_t memory; /* of the endpoints that can be used, tokens */
+};
+
+struct place_sums place_sum(const struct place_target *targets, size_t n);
+
 /*
- * Which endpoint keeps a copy of a generation's memory, so that the generation
- * goes on there when its endpoint leaves or fails.  A copy takes memory from
- * new work, so only endpoints with much of it left are chosen.  Returns false
- * if there is none.
+ * Which endpoint takes over a generation whose endpoint leaves.
+ *
+ * The load that it answers: all hosts move the generations of a leaving
+ * endpoint in the same moment, and none knows yet what the others choose.  So
+ * each draws an endpoint of its data centre with a probability in proportion to
+ * its free memory.  Endpoints copy one generation after another, and a copy
+ * waits until both links are free; so each source has targets of its own, and
+ * uses others only if those are full.
  */
-bool place_backup(const struct place_target *targets, size_t n,
-		  uint64_t need_tokens, size_t *index);
+enum place_result place_move(const struct place_target *targets, size_t n,
+			     uint64_t need_tokens, size_t *index);
 
 #endif
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -21,7 +21,7 @@
 	uint64_t memory_tokens;
 	uint64_t token_bytes; /* memory of one token when it is moved */
 	double link_mbps;     /* of an engine, for moves */
-	bool moves, backups;
+	bool moves;
 	unsigned int event_tokens; /* tokens in one event of a stream */
 	int64_t handle_us;	   /* how long a copy is kept */
 };
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -160,7 +160,7 @@
 	}
 	/* Part of an event comes again with the next endpoint. */
 	buf_consume(&r->event, buf_unread(&r->event));
-	if (move_source_ended(r, now))
+	if (move_source_ended(r))
 		return;
 	if (t && t->incarnation == r->incarnation)
 		endpoints_failed(r->fwd, t, now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -20,7 +20,7 @@
  * its caller aims at: later it could not be answered in time, and a caller
  * that is refused may come back elsewhere.
  */
-#define WAIT_PART 2
+#define WAIT_PART 6
 
 /*
  * Generations of one route that wait on one host.  All hosts together start
@@ -175,7 +175,6 @@
 	struct fwd *f = r->fwd;
 
 	request_detach(r);
-	request_drop_copy(r, &r->backup);
 	move_release(r);
 	if (r->state == REQUEST_WAITING && r->wait_node.next != &r->wait_node)
 		f->n_waiting--;
@@ -283,12 +282,49 @@
 	f->n_waiting++;
 }
 
+/* Whether it waits its turn among the requests of all hosts. */
+static bool takes_turns(const struct request *r)
+{
+	return r->generation && !request_is_urgent(r);
+}
+
+uint64_t request_queued(struct fwd *f, const char *service)
+{
+	struct request *r;
+	uint64_t tokens = 0;
+
+	list_for_each_entry (r, &f->waiting, wait_node)
+		if (takes_turns(r) && !strcmp(r->service->name, service))
+			tokens += r->need_tokens;
+	return tokens;
+}
+
+/* A request that is not in the queue counts as if it were. */
+static bool has_turn(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	struct service_state *s = endpoints_service(f, r->service->name);
+	bool queued = r->wait_node.next != &r->wait_node;
+	uint64_t own = request_queued(f, r->service->name) +
+		       (queued ? 0 : r->need_tokens);
+
+	if (!takes_turns(r))
+		return true;
+	turn_begin(&s->turn, request_sums(r, now).room, own, s->others_queued,
+		   now);
+	return turn_take(&s->turn, r->need_tokens, g_rand_double(f->rand));
+}
+
 /* Returns whether the request was placed. */
 static bool try_place(struct request *r, int64_t now, bool *any)
 {
 	struct fwd *f = r->fwd;
-	struct target *t = request_choose(r, r->tried, f->conf->dc, any, now);
+	struct target *t;
 
+	*any = true;
+	if (!has_turn(r, now))
+		return false;
+	t = request_choose(r, r->tried, f->conf->dc, any, now);
 	/* The endpoint that refused is better than none. */
 	if (!t && *r->tried && !*any)
 		t = request_choose(r, "", f->conf->dc, any, now);
@@ -314,6 +350,26 @@
 	return n;
 }
 
+static int64_t wait_max_us(const struct request *r)
+{
+	return r->route->aim_us / WAIT_PART;
+}
+
+/* Whether it would wait too long behind the queues of all hosts. */
+static bool is_hopeless(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	const struct service_state *s = endpoints_service(f, r->service->name);
+
+	if (!r->generation)
+		return false;
+	if (!takes_turns(r))
+		return waiting_before(r) >= WAIT_ROUTE_MAX;
+	return !turn_worth_waiting(request_queued(f, r->service->name) +
+					   s->others_queued,
+				   request_sums(r, now).memory, wait_max_us(r));
+}
+
 static void place(struct request *r, int64_t now)
 {
 	bool any;
@@ -324,8 +380,7 @@
 	}
 	if (try_place(r, now, &any))
 		return;
-	if (r->fwd->n_waiting >= WAITING_MAX ||
-	    (r->generation && any && waiting_before(r) >= WAIT_ROUTE_MAX)) {
+	if (r->fwd->n_waiting >= WAITING_MAX || (any && is_hopeless(r, now))) {
 		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
 		return;
 	}
@@ -333,11 +388,6 @@
 	wait_for_room(r);
 }
 
-static int64_t wait_max_us(const struct request *r)
-{
-	return r->route->aim_us / WAIT_PART;
-}
-
 void request_pump(struct fwd *f, int64_t now)
 {
 	struct request *r, *tmp;
@@ -432,7 +482,8 @@
 		return false;
 	if (r->attempts >= r->route->max_endpoints + 1)
 		return false;
-	return budget_repeat(endpoints_budget(r->fwd, r->service->name));
+	return budget_repeat(
+		&endpoints_service(r->fwd, r->service->name)->budget);
 }
 
 static void again(struct request *r, const char *why, int64_t now)
@@ -513,15 +564,13 @@
 };
 
 struct fetch *request_fetch(struct request *r, const struct target *t,
-			    const char *resume_from, const char *backup,
-			    int64_t now)
+			    const char *resume_from, int64_t now)
 {
 	struct fwd *f = r->fwd;
 	struct attempt a = {.endpoint = t->id,
 			    .account = r->account ? r->account->name : NULL,
 			    .rank = r->rank,
 			    .left_us = r->deadline_us - now,
-			    .backup = backup,
 			    .resume_from = resume_from,
 			    .last_event = r->last_event};
 	headers *h = f->iface->request_headers(r->http, &r->ask, &a);
@@ -548,8 +597,6 @@
 	slog_int(&l, "need", (int64_t)r->need_tokens);
 	slog_int(&l, "wait_us", now - r->arrived_us);
 	slog_int(&l, "prefill", (int64_t)(t->prefill + t->others_prefill));
-	if (backup)
-		slog_str(&l, "backup", backup);
 	if (resume_from)
 		slog_str(&l, "resume_from", resume_from);
 	slog_end(&l);
@@ -560,15 +607,13 @@
 
 void request_send(struct request *r, struct target *t, int64_t now)
 {
-	const char *backup = request_begin_backup(r, &r->backup, t, now);
-
 	r->prefill = r->ask.prompt_tokens;
 	r->answer = (struct answer){0};
-	r->sent_us = r->backup_us = now;
+	r->sent_us = now;
 	r->state = REQUEST_SENT;
 	counter_observe(C_QUEUE_WAIT_US, "forwarded", now - r->arrived_us);
 	request_attach(r, t);
-	r->fetch = request_fetch(r, t, NULL, backup, now);
+	r->fetch = request_fetch(r, t, NULL, now);
 }
 
 /* ---- admission ---- */
@@ -660,7 +705,7 @@
 	r->generation = r->service->engine && r->ask.prompt_tokens;
 	set_times(r);
 	request_count(r, now);
-	budget_request(endpoints_budget(f, r->service->name));
+	budget_request(&endpoints_service(f, r->service->name)->budget);
 	if (!ends_in_time(r, now))
 		request_refuse(r, -MW_EDRAINING, "shutting down", now);
 	else
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -2,6 +2,7 @@
 #define FORWARD_REQUEST_H
 
 #include "forward/fwd.h"
+#include "forward/place.h"
 
 /*
  * One request on its way from a caller to an endpoint and back.
@@ -24,8 +25,6 @@
 	MOVE_NONE,
 	MOVE_WAIT,   /* for the copy of a young generation */
 	MOVE_COPY,   /* the memory is copied while the generation goes on */
-	MOVE_STOP,   /* the generation stops, the rest is copied */
-	MOVE_READY,  /* the copy is complete, the source's stream is not */
 	MOVE_RESUME, /* the request is sent to the target */
 };
 
@@ -43,11 +42,8 @@
 	struct copy target;
 	char target_addr[64];
 	char handle[256]; /* "IP:PORT/HANDLE", "" before a copy is complete */
-	bool from_backup; /* the handle is that of the continuous copy */
-	bool at_source;	  /* goes on at the source, from the stopped memory */
-	struct fetch *order;	 /* that is open */
-	struct fetch *next;	 /* the request at the target */
-	struct copy next_backup; /* of the generation there */
+	struct fetch *order; /* that is open */
+	struct fetch *next;  /* the request at the target */
 	struct buf reply;
 	int status;
 	unsigned int tries;
@@ -101,20 +97,14 @@
 	int64_t last_event_us;
 	bool ended; /* the endpoint has sent the end */
 	struct move move;
-	struct copy backup; /* continuous copy */
-	int64_t backup_us;  /* since when */
 };
 
 /* Sends the request to an endpoint that has room for it. */
 void request_send(struct request *r, struct target *t, int64_t now);
 
-/*
- * Starts the transfer of one attempt; resume_from and backup as in struct
- * attempt.
- */
+/* Starts the transfer of one attempt; resume_from as in struct attempt. */
 struct fetch *request_fetch(struct request *r, const struct target *t,
-			    const char *resume_from, const char *backup,
-			    int64_t now);
+			    const char *resume_from, int64_t now);
 
 /* Counts the request at an endpoint. */
 void request_attach(struct request *r, struct target *t);
@@ -126,6 +116,12 @@
 struct target *request_choose(struct request *r, const char *except,
 			      const char *near, bool *any, int64_t now);
 
+/* Over all endpoints of its service. */
+struct place_sums request_sums(struct request *r, int64_t now);
+
+/* Whether the answer is aimed at so early that it cannot wait. */
+bool request_is_urgent(const struct request *r);
+
 /* Takes the request off its endpoint's counts; its fetch is cancelled. */
 void request_detach(struct request *r);
 
@@ -158,18 +154,11 @@
 void request_take_copy(struct request *r, struct copy *c, struct target *t);
 void request_drop_copy(struct request *r, struct copy *c);
 
-/*
- * Chooses an endpoint to keep a continuous copy of what runs at `source`, and
- * counts it; returns its address, or NULL if there is no copy.
- */
-const char *request_begin_backup(struct request *r, struct copy *c,
-				 const struct target *source, int64_t now);
-
 /* ---- move.c ---- */
 /* The endpoint leaves: begins to move the generation elsewhere. */
 void move_begin(struct request *r, int64_t now);
 /* The stream at the source has broken off; true if it goes on elsewhere. */
-bool move_source_ended(struct request *r, int64_t now);
+bool move_source_ended(struct request *r);
 /* The target has answered; true if its events follow. */
 bool move_answered(struct request *r, int status, bool whole, int64_t now);
 /* The transfer from the target has ended without such an answer. */
--- /dev/null
+++ b/src/forward/turn.c
@@ -0,0 +1,34 @@
+#include "forward/turn.h"
+
+/* Long generations keep their memory for some ten seconds. */
+#define TURNOVER_US 10000000
+
+void turn_begin(struct turn *t, uint64_t room, uint64_t own, uint64_t others,
+		int64_t now)
+{
+	uint64_t wanted = own + others;
+
+	if (t->began_us && now - t->began_us < TURN_ROUND_US)
+		return;
+	t->began_us = now;
+	t->all = wanted <= room;
+	t->left = t->all ? (double)room
+			 : (double)own * ((double)room / (double)wanted);
+}
+
+bool turn_take(struct turn *t, uint64_t tokens, double draw)
+{
+	bool whole = t->left >= (double)tokens;
+
+	if (!whole && draw * (double)tokens >= t->left) {
+		t->left = 0;
+		return false;
+	}
+	t->left = whole ? t->left - (double)tokens : 0;
+	return true;
+}
+
+bool turn_worth_waiting(uint64_t queued, uint64_t memory, int64_t wait_us)
+{
+	return (double)queued * TURNOVER_US <= (double)memory * (double)wait_us;
+}
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -65,8 +65,7 @@
 	unsigned int rank;	 /* 0 is the most urgent */
 	int64_t left_us;	 /* time that the endpoint may take */
 	const char *resume_from; /* "IP:PORT/HANDLE" of a copy, or NULL */
-	const char *backup;  /* "IP:PORT" that memory is copied to, or NULL */
-	uint64_t last_event; /* newest event that was received */
+	uint64_t last_event;	 /* newest event that was received */
 };
 
 /* What the headers of an endpoint's answer say. */
@@ -81,7 +80,6 @@
 struct move_order {
 	const char *request_id;
 	const char *target; /* "IP:PORT" */
-	bool last;	    /* the generation stops at the source */
 };
 
 struct move_answer {
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -1987,6 +1987,51 @@
   assert(message->base.descriptor == &mw__use_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__queue_row__init
+                     (Mw__QueueRow         *message)
+{
+  static const Mw__QueueRow init_value = MW__QUEUE_ROW__INIT;
+  *message = init_value;
+}
+size_t mw__queue_row__get_packed_size
+                     (const Mw__QueueRow *message)
+{
+  assert(message->base.descriptor == &mw__queue_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__queue_row__pack
+                     (const Mw__QueueRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__queue_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__queue_row__pack_to_buffer
+                     (const Mw__QueueRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__queue_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__QueueRow *
+       mw__queue_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__QueueRow *)
+     protobuf_c_message_unpack (&mw__queue_row__descriptor,
+                                allocator, len, data);
+}
+void   mw__queue_row__free_unpacked
+                     (Mw__QueueRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__queue_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__repeat_row__init
                      (Mw__RepeatRow         *message)
 {
@@ -7373,6 +7418,57 @@
   (ProtobufCMessageInit) mw__use_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__QueueRow, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__QueueRow, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__queue_row__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange mw__queue_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mw__queue_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.QueueRow",
+  "QueueRow",
+  "Mw__QueueRow",
+  "mw",
+  sizeof(Mw__QueueRow),
+  2,
+  mw__queue_row__field_descriptors,
+  mw__queue_row__field_indices_by_name,
+  1,  mw__queue_row__number_ranges,
+  (ProtobufCMessageInit) mw__queue_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mw__repeat_row__field_descriptors[3] =
 {
   {
@@ -7437,7 +7533,7 @@
   (ProtobufCMessageInit) mw__repeat_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[7] =
 {
   {
     "host",
@@ -7511,11 +7607,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queues",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseReport, n_queues),
+    offsetof(Mw__UseReport, queues),
+    &mw__queue_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_report__field_indices_by_name[] = {
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
   5,   /* field[5] = loads */
+  6,   /* field[6] = queues */
   4,   /* field[4] = repeats */
   3,   /* field[3] = rows */
   2,   /* field[2] = seq */
@@ -7523,7 +7632,7 @@
 static const ProtobufCIntRange mw__use_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mw__use_report__descriptor =
 {
@@ -7533,14 +7642,14 @@
   "Mw__UseReport",
   "mw",
   sizeof(Mw__UseReport),
-  6,
+  7,
   mw__use_report__field_descriptors,
   mw__use_report__field_indices_by_name,
   1,  mw__use_report__number_ranges,
   (ProtobufCMessageInit) mw__use_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_totals__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mw__use_totals__field_descriptors[4] =
 {
   {
     "rows",
@@ -7578,16 +7687,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queues",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__UseTotals, n_queues),
+    offsetof(Mw__UseTotals, queues),
+    &mw__queue_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_totals__field_indices_by_name[] = {
   2,   /* field[2] = hosts */
+  3,   /* field[3] = queues */
   1,   /* field[1] = repeats */
   0,   /* field[0] = rows */
 };
 static const ProtobufCIntRange mw__use_totals__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mw__use_totals__descriptor =
 {
@@ -7597,7 +7719,7 @@
   "Mw__UseTotals",
   "mw",
   sizeof(Mw__UseTotals),
-  3,
+  4,
   mw__use_totals__field_descriptors,
   mw__use_totals__field_indices_by_name,
   1,  mw__use_totals__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -59,6 +59,7 @@
 typedef struct Mw__TreeNews Mw__TreeNews;
 typedef struct Mw__EndpointRows Mw__EndpointRows;
 typedef struct Mw__UseRow Mw__UseRow;
+typedef struct Mw__QueueRow Mw__QueueRow;
 typedef struct Mw__RepeatRow Mw__RepeatRow;
 typedef struct Mw__UseReport Mw__UseReport;
 typedef struct Mw__UseTotals Mw__UseTotals;
@@ -1045,6 +1046,23 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Generations that wait on a host for room at any endpoint of a service.
+ */
+struct  Mw__QueueRow
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * memory that they are expected to need
+   */
+  uint64_t tokens;
+};
+#define MW__QUEUE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__queue_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Requests for a service and repeats sent to it since the host started.
  */
@@ -1077,10 +1095,12 @@
    * of a control process: what endpoints say
    */
   protobuf_c_boolean loads;
+  size_t n_queues;
+  Mw__QueueRow **queues;
 };
 #define MW__USE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1097,10 +1117,12 @@
    * entry hosts heard of, the receiver included
    */
   uint32_t hosts;
+  size_t n_queues;
+  Mw__QueueRow **queues;
 };
 #define MW__USE_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_totals__descriptor) \
-    , 0,NULL, 0,NULL, 0 }
+    , 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Mw__Demand
@@ -2439,6 +2461,25 @@
 void   mw__use_row__free_unpacked
                      (Mw__UseRow *message,
                       ProtobufCAllocator *allocator);
+/* Mw__QueueRow methods */
+void   mw__queue_row__init
+                     (Mw__QueueRow         *message);
+size_t mw__queue_row__get_packed_size
+                     (const Mw__QueueRow   *message);
+size_t mw__queue_row__pack
+                     (const Mw__QueueRow   *message,
+                      uint8_t             *out);
+size_t mw__queue_row__pack_to_buffer
+                     (const Mw__QueueRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__QueueRow *
+       mw__queue_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__queue_row__free_unpacked
+                     (Mw__QueueRow *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__RepeatRow methods */
 void   mw__repeat_row__init
                      (Mw__RepeatRow         *message);
@@ -2972,6 +3013,9 @@
 typedef void (*Mw__UseRow_Closure)
                  (const Mw__UseRow *message,
                   void *closure_data);
+typedef void (*Mw__QueueRow_Closure)
+                 (const Mw__QueueRow *message,
+                  void *closure_data);
 typedef void (*Mw__RepeatRow_Closure)
                  (const Mw__RepeatRow *message,
                   void *closure_data);
@@ -3085,6 +3129,7 @@
 extern const ProtobufCMessageDescriptor mw__tree_news__descriptor;
 extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
+extern const ProtobufCMessageDescriptor mw__queue_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__repeat_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_report__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_totals__descriptor;
--- /dev/null
+++ b/tests/test_turn.c
@@ -0,0 +1,83 @@
+#include "check_main.h"
+
+#include <glib.h>
+
+#include "forward/turn.h"
+
+#define MS 1000
+#define HOSTS 70
+#define NEED 4000
+
+/*
+ * Guards against all hosts placing their queues on one endpoint that joins: it
+ * has room for six, and sixty wait.
+ */
+START_TEST(test_hosts_share_room)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	unsigned int placed = 0;
+
+	for (int round = 0; round < 100; round++) {
+		for (int h = 0; h < HOSTS; h++) {
+			struct turn t = {0};
+			uint64_t own = h < 60 ? NEED : 0;
+			turn_begin(&t, 6 * NEED, own, 60 * NEED - own, 1);
+			placed +=
+				own && turn_take(&t, NEED, g_rand_double(rand));
+		}
+	}
+	ck_assert_uint_gt(placed, 500);
+	ck_assert_uint_lt(placed, 700);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Guards against requests that wait although there is room for all. */
+START_TEST(test_room_for_all)
+{
+	struct turn t = {0};
+
+	turn_begin(&t, 10 * NEED, 3 * NEED, 5 * NEED, 1);
+	for (int i = 0; i < 3; i++)
+		ck_assert(turn_take(&t, NEED, 0.999));
+}
+END_TEST
+
+/* Guards against a second share before the first is known to others. */
+START_TEST(test_one_share_a_round)
+{
+	struct turn t = {0};
+
+	turn_begin(&t, 2 * NEED, 2 * NEED, 2 * NEED, 1);
+	ck_assert(turn_take(&t, NEED, 0.5));
+	ck_assert(!turn_take(&t, NEED, 0.5));
+	turn_begin(&t, 2 * NEED, NEED, 2 * NEED, 100 * MS);
+	ck_assert(!turn_take(&t, NEED, 0));
+	turn_begin(&t, 3 * NEED, NEED, 2 * NEED, 201 * MS);
+	ck_assert(turn_take(&t, NEED, 0.999));
+}
+END_TEST
+
+/*
+ * Guards against callers that wait for nothing: memory that is held for ten
+ * seconds frees a tenth of itself within one.
+ */
+START_TEST(test_worth_waiting)
+{
+	ck_assert(turn_worth_waiting(39000, 400000, 1000 * MS));
+	ck_assert(!turn_worth_waiting(41000, 400000, 1000 * MS));
+	ck_assert(!turn_worth_waiting(1, 0, 1000 * MS));
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_hosts_share_room,
+		test_room_for_all,
+		test_one_share_a_round,
+		test_worth_waiting,
+	};
+
+	return check_main("turn", tests, G_N_ELEMENTS(tests));
+}
