forward: Share what all hosts see of endpoints that fail

Change: hosts report the failed and answered attempts of the last two seconds with their work, and leave an endpoint alone while most attempts of all hosts fail (health.h). Endpoints that lose a part of their answers keep their work. The log line of a failure tells what the other hosts saw.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -93,6 +93,8 @@
 	sum->prefill += row->prefill;
 	sum->used += row->used;
 	sum->waiting += row->waiting;
+	sum->failed += row->failed;
+	sum->worked += row->worked;
 }
 
 static void add_repeat(GHashTable *sums, const Mw__RepeatRow *row)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -49,7 +49,8 @@
 			continue;
 		c.targets[c.n] = t;
 		c.list[c.n++] = (struct place_target){
-			.usable = t->serving && now >= t->avoid_until_us,
+			.usable = t->serving && now >= t->avoid_until_us &&
+				  !health_is_bad(&t->health, now),
 			.excluded = !strcmp(t->id, except),
 			.distance = distance(near, t),
 			.slots = t->slots,
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -62,6 +62,7 @@
 	t->incarnation = info->incarnation;
 	t->avoid_until_us = 0;
 	t->failures = 0;
+	t->health = (struct health){0};
 	t->slow_us = 0;
 	t->link_free_us = 0;
 	t->others_open = 0;
@@ -131,6 +132,7 @@
 		t->others_tokens = t->others_prefill = 0;
 		t->used_tokens = 0;
 		t->waiting = 0;
+		t->health.others_failed = t->health.others_worked = 0;
 	}
 	for (size_t i = 0; i < totals->n_rows; i++) {
 		const Mw__UseRow *row = totals->rows[i];
@@ -142,6 +144,8 @@
 		t->others_prefill = row->prefill;
 		t->used_tokens = row->used;
 		t->waiting = row->waiting;
+		t->health.others_failed = row->failed;
+		t->health.others_worked = row->worked;
 	}
 	g_hash_table_iter_init(&iter, f->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
@@ -153,7 +157,7 @@
 		request_pump(f, now);
 }
 
-Mw__UseReport *endpoints_use(struct fwd *f)
+Mw__UseReport *endpoints_use(struct fwd *f, int64_t now)
 {
 	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
 	GHashTableIter iter;
@@ -167,7 +171,9 @@
 	r->rows = g_new0(Mw__UseRow *, g_hash_table_size(f->targets) + 1);
 	g_hash_table_iter_init(&iter, f->targets);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
-		if (!t->open && !t->tokens)
+		unsigned int failed = health_recent_failed(&t->health, now);
+		unsigned int worked = health_recent_worked(&t->health, now);
+		if (!t->open && !t->tokens && !failed && !worked)
 			continue;
 		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
 		mw__use_row__init(row);
@@ -175,6 +181,8 @@
 		row->streams = t->open;
 		row->tokens = t->tokens;
 		row->prefill = t->prefill;
+		row->failed = failed;
+		row->worked = worked;
 		r->rows[r->n_rows++] = row;
 	}
 	r->queues = g_new0(Mw__QueueRow *, g_hash_table_size(f->services) + 1);
@@ -207,12 +215,17 @@
 {
 	int64_t wait = AVOID_MIN_US << MIN(t->failures, 4u);
 
-	(void)f;
+	health_failed(&t->health, now);
+	f->use_changed = true;
 	t->failures++;
 	t->avoid_until_us = now + MIN(wait, AVOID_MAX_US);
 	struct slog l = slog_begin("endpoint_avoided");
 	slog_str(&l, "endpoint", t->id);
 	slog_int(&l, "failures", t->failures);
+	slog_int(&l, "recent_failed_here",
+		 health_recent_failed(&t->health, now));
+	slog_int(&l, "recent_failed_elsewhere", t->health.others_failed);
+	slog_int(&l, "recent_worked_elsewhere", t->health.others_worked);
 	slog_int(&l, "wait_us", t->avoid_until_us - now);
 	slog_end(&l);
 }
@@ -220,7 +233,7 @@
 void endpoints_worked(struct fwd *f, struct target *t, int64_t now)
 {
 	(void)f;
-	(void)now;
+	health_worked(&t->health, now);
 	t->failures = 0;
 }
 
--- a/src/forward/follow.c
+++ b/src/forward/follow.c
@@ -339,7 +339,7 @@
 	f->use_sent_us = now;
 	f->use_changed = false;
 	frame.body_case = MW__FRAME__BODY_USE_REPORT;
-	frame.use_report = endpoints_use(f);
+	frame.use_report = endpoints_use(f, now);
 	peer_send(p, &frame);
 	endpoints_use_free(frame.use_report);
 }
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "conf/conf.h"
 #include "forward/budget.h"
+#include "forward/health.h"
 #include "forward/plan.h"
 #include "forward/turn.h"
 #include "iface/iface.h"
@@ -61,6 +62,7 @@
 	/* Failures. */
 	int64_t avoid_until_us;
 	unsigned int failures;
+	struct health health;
 	int64_t slow_us; /* smoothed time to the first answer, calls only */
 	int64_t link_free_us; /* moves from and to it are sent one by one */
 };
@@ -135,7 +137,7 @@
 void endpoints_take(struct fwd *f, const Mw__EndpointInfo *info, int64_t now);
 void endpoints_totals(struct fwd *f, const Mw__UseTotals *totals, int64_t now);
 /* The rows of this host's own report; freed with endpoints_use_free(). */
-Mw__UseReport *endpoints_use(struct fwd *f);
+Mw__UseReport *endpoints_use(struct fwd *f, int64_t now);
 void endpoints_use_free(Mw__UseReport *r);
 struct target *endpoints_target(struct fwd *f, const char *id);
 /* A request could not be delivered, or the endpoint broke off. */
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -33,6 +33,8 @@
 	httpd_stream_begin(r->http, r->status, (const char *const *)h->pdata);
 	g_ptr_array_unref(h);
 	struct target *t = endpoints_target(f, r->target);
+	if (t)
+		endpoints_worked(f, t, now);
 	if (t && !t->serving)
 		move_begin(r, now);
 }
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -7315,7 +7315,7 @@
   (ProtobufCMessageInit) mw__endpoint_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[8] =
 {
   {
     "endpoint",
@@ -7389,19 +7389,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worked",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, worked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_row__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
+  6,   /* field[6] = failed */
   3,   /* field[3] = prefill */
   1,   /* field[1] = streams */
   2,   /* field[2] = tokens */
   4,   /* field[4] = used */
   5,   /* field[5] = waiting */
+  7,   /* field[7] = worked */
 };
 static const ProtobufCIntRange mw__use_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mw__use_row__descriptor =
 {
@@ -7411,7 +7437,7 @@
   "Mw__UseRow",
   "mw",
   sizeof(Mw__UseRow),
-  6,
+  8,
   mw__use_row__field_descriptors,
   mw__use_row__field_indices_by_name,
   1,  mw__use_row__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1040,10 +1040,18 @@
    * requests that wait there, as the endpoint says
    */
   uint32_t waiting;
+  /*
+   * attempts of the last two seconds that broke off
+   */
+  uint32_t failed;
+  /*
+   * and those that were answered
+   */
+  uint32_t worked;
 };
 #define MW__USE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
