forward, conf: Bounds of repeats as settings; enough for one on each of many hosts

Cause: the spare part of the budget was a constant of 40 for a service, shared by all hosts. On 82 hosts that is less than one repeat each, so none was ever sent; on a platform that allows less it would have been too much.

A test plays 82 hosts.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -202,6 +202,10 @@
 		return fail(error, "--stream-buffer: 1024 to 16777216");
 	if (c->tolerate < 1 || c->tolerate > CONF_TOLERATE_MAX)
 		return fail(error, "--tolerate: 1 to %d", CONF_TOLERATE_MAX);
+	if (c->repeat_percent < 0 || c->repeat_percent > 100)
+		return fail(error, "--repeat-percent: 0 to 100");
+	if (c->repeat_spare < 0 || c->repeat_spare > 1000000)
+		return fail(error, "--repeat-spare: 0 to 1000000");
 	if (c->log_level < 3 || c->log_level > 7)
 		return fail(error, "--log-level: 3 to 7");
 	if (strcmp(c->policy, "mustardwall") != 0 &&
--- a/src/conf/flags.gen.h
+++ b/src/conf/flags.gen.h
@@ -10,6 +10,8 @@
 FLAG_LIST(control, "control", "", "DC/HOST/VOTER/IP:PORT,...", "control processes: data centre, host name, voter id and peer address; /IP:PORT behind it is dialled instead")
 FLAG_LIST(seeds, "seeds", "", "IP:PORT,...", "peer addresses of some control processes, instead of --control: the others are found through them")
 FLAG_INT(tolerate, "tolerate", 1, "N", "losses of control hosts to withstand, with --seeds; the group has 2N+1 voters")
+FLAG_INT(repeat_percent, "repeat-percent", 20, "N", "repeats that all entry hosts may send to one service, in percent of its requests (another interface)")
+FLAG_INT(repeat_spare, "repeat-spare", 40, "N", "repeats that all entry hosts may send to one service within ten seconds besides (another interface)")
 FLAG_FLAG(open_cluster, "open-cluster", 0, "", "accept other processes without a shared key; for networks that nobody else can reach")
 FLAG_LIST(peers, "peers", "", "HOST/IP:PORT,...", "further entry processes of this data centre that may act as hub")
 FLAG_STRING(cluster_key_file, "cluster-key-file", "", "FILE", "file with the 32-byte key shared by all processes, as 64 hex digits")
--- a/src/forward/budget.h
+++ b/src/forward/budget.h
@@ -11,23 +11,28 @@
  * each other.  A decision without I/O.
  */
 
-/* Repeats to requests, percent; the platform allows 20. */
-#define BUDGET_PERCENT 16
-
 /* Seconds over which the bound of the sum holds. */
 #define BUDGET_WINDOW_S 10
 
 struct budget {
+	double share; /* repeats to requests */
 	double tokens;
 	double max;
 	uint64_t requests, repeats; /* since the start, for reports */
 };
 
-/* Of `spare` repeats that all hosts may send besides, this host has a part. */
-void budget_init(struct budget *b, double spare, unsigned int hosts);
+/* What all hosts together may send. */
+struct budget_bounds {
+	double percent; /* repeats to requests */
+	double spare;	/* and so many besides within the window */
+};
+
+void budget_init(struct budget *b, const struct budget_bounds *all,
+		 unsigned int hosts);
 
 /* The number of hosts is known better. */
-void budget_hosts(struct budget *b, double spare, unsigned int hosts);
+void budget_hosts(struct budget *b, const struct budget_bounds *all,
+		  unsigned int hosts);
 
 void budget_request(struct budget *b);
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -16,11 +16,7 @@
 #define AVOID_MIN_US (250 * USEC_PER_MSEC)
 #define AVOID_MAX_US (4 * USEC_PER_SEC)
 
-/*
- * Repeats that all hosts may send to a service beyond the share of requests,
- * and the number of hosts assumed until it is known.
- */
-#define SPARE_REPEATS 40
+/* Hosts until their number is known. */
 #define HOSTS_ASSUMED 8
 
 /* Weight of a new measurement in the smoothed time of calls, percent. */
@@ -240,13 +236,15 @@
 struct service_state *endpoints_service(struct fwd *f, const char *service)
 {
 	struct service_state *s = g_hash_table_lookup(f->services, service);
+	const struct budget_bounds all = {.percent = f->conf->repeat_percent,
+					  .spare = f->conf->repeat_spare};
 
 	if (!s) {
 		s = g_new0(struct service_state, 1);
-		budget_init(&s->budget, SPARE_REPEATS, f->hosts);
+		budget_init(&s->budget, &all, f->hosts);
 		g_hash_table_insert(f->services, g_strdup(service), s);
 	}
-	budget_hosts(&s->budget, SPARE_REPEATS, MAX(f->hosts, 2u));
+	budget_hosts(&s->budget, &all, MAX(f->hosts, 2u));
 	return s;
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -223,11 +223,12 @@
 /* Guards against more repeats over all hosts than endpoints can bear. */
 START_TEST(test_budget)
 {
+	const struct budget_bounds all = {.percent = 20, .spare = 40};
 	struct budget b[8];
 	unsigned int repeats = 0, requests = 0;
 
 	for (int h = 0; h < 8; h++)
-		budget_init(&b[h], 40, 8);
+		budget_init(&b[h], &all, 8);
 	for (int n = 0; n < 800; n++) {
 		budget_request(&b[n % 8]);
 		requests++;
@@ -239,6 +240,26 @@
 }
 END_TEST
 
+/* Guards against a budget that is never enough for one repeat. */
+START_TEST(test_budget_of_many_hosts)
+{
+	const struct budget_bounds all = {.percent = 20, .spare = 204};
+	struct budget b[82];
+	unsigned int repeats = 0, requests = 0;
+
+	for (int h = 0; h < 82; h++)
+		budget_init(&b[h], &all, 82);
+	for (int n = 0; n < 8200; n++) {
+		budget_request(&b[n % 82]);
+		requests++;
+		while (budget_repeat(&b[n % 82]))
+			repeats++;
+	}
+	ck_assert_uint_le(repeats, requests * 20 / 100 + 204);
+	ck_assert_uint_gt(repeats, requests * 10 / 100);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_avoids_unread_prompts,
@@ -247,6 +268,7 @@
 				      test_distance,
 				      test_herd,
 				      test_budget,
+				      test_budget_of_many_hosts,
 				      test_engine_queue,
 				      test_moves_spread,
 				      test_moves_by_room,
