forward: Queue in a file of its own; log the longest pause of a stream

Change: waiting and placing moved to queue.c. The line of an answered stream says when its first event came, its longest pause and when that ended.

--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -27,7 +27,8 @@
  *   fwd.c      start, readiness, shutdown
  *   follow.c   what the control processes tell
  *   endpoints.c     endpoints, their load and failures
- *   request.c  life of a request: admission, waiting, placing, answer
+ *   request.c  life of a request: admission, attempts, answer
+ *   queue.c    waiting and placing
  *   choose.c   which endpoint, and which keeps a copy
  *   relay.c    streams of events
  *   move.c     generations whose endpoint leaves
--- /dev/null
+++ b/src/forward/queue.c
@@ -0,0 +1,177 @@
+#include "forward/request.h"
+
+#include <string.h>
+
+#include "base/err.h"
+
+/*
+ * Requests that wait for an endpoint with room, by rank.
+ *
+ * The load that it answers: reports come at twice the rate that endpoints can
+ * take for some seconds.  They start in turns over all hosts (turn.h); what
+ * would wait too long is refused at once, so that its caller may come back.
+ */
+
+/*
+ * A request waits for room at most this part of the time to the answer that
+ * its caller aims at: later it could not be answered in time, and a caller
+ * that is refused may come back elsewhere.
+ */
+#define WAIT_PART 6
+
+/*
+ * Generations of one route that wait on one host.  All hosts together start
+ * some six a second when endpoints are full, so more would wait too long.
+ */
+#define WAIT_ROUTE_MAX 3
+
+/* Requests that wait on one host; more are refused at once. */
+#define WAITING_MAX 256
+
+static void wait_for_room(struct request *r)
+{
+	struct fwd *f = r->fwd;
+	struct list *at;
+
+	r->state = REQUEST_WAITING;
+	/* In order of rank, then of arrival. */
+	for (at = f->waiting.prev; at != &f->waiting; at = at->prev) {
+		struct request *o = list_entry(at, struct request, wait_node);
+		if (o->rank < r->rank ||
+		    (o->rank == r->rank && o->arrived_us <= r->arrived_us))
+			break;
+	}
+	list_add(at, &r->wait_node);
+	f->n_waiting++;
+}
+
+/* Whether it waits its turn among the requests of all hosts. */
+static bool takes_turns(const struct request *r)
+{
+	return r->generation && !request_is_urgent(r);
+}
+
+uint64_t request_queued(struct fwd *f, const char *service)
+{
+	struct request *r;
+	uint64_t tokens = 0;
+
+	list_for_each_entry (r, &f->waiting, wait_node)
+		if (takes_turns(r) && !strcmp(r->service->name, service))
+			tokens += r->need_tokens;
+	return tokens;
+}
+
+/* A request that is not in the queue counts as if it were. */
+static bool has_turn(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	struct service_state *s = endpoints_service(f, r->service->name);
+	bool queued = r->wait_node.next != &r->wait_node;
+	uint64_t own = request_queued(f, r->service->name) +
+		       (queued ? 0 : r->need_tokens);
+
+	if (!takes_turns(r))
+		return true;
+	turn_begin(&s->turn, request_sums(r, now).room, own, s->others_queued,
+		   now);
+	return turn_take(&s->turn, r->need_tokens, g_rand_double(f->rand));
+}
+
+/* Returns whether the request was placed. */
+static bool try_place(struct request *r, int64_t now, bool *any)
+{
+	struct fwd *f = r->fwd;
+	struct target *t;
+
+	*any = true;
+	if (!has_turn(r, now))
+		return false;
+	t = request_choose(r, r->tried, f->conf->dc, any, now);
+	/* The endpoint that refused is better than none. */
+	if (!t && *r->tried && !*any)
+		t = request_choose(r, "", f->conf->dc, any, now);
+	r->no_endpoint = !*any;
+	if (!t)
+		return false;
+	if (r->wait_node.next != &r->wait_node) {
+		list_del(&r->wait_node);
+		f->n_waiting--;
+	}
+	request_send(r, t, now);
+	return true;
+}
+
+/* Requests of the same route that wait already. */
+static unsigned int waiting_before(const struct request *r)
+{
+	struct request *o;
+	unsigned int n = 0;
+
+	list_for_each_entry (o, &r->fwd->waiting, wait_node)
+		n += o->route == r->route;
+	return n;
+}
+
+static int64_t wait_max_us(const struct request *r)
+{
+	return r->route->aim_us / WAIT_PART;
+}
+
+/* Whether it would wait too long behind the queues of all hosts. */
+static bool is_hopeless(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	const struct service_state *s = endpoints_service(f, r->service->name);
+
+	if (!r->generation)
+		return false;
+	if (!takes_turns(r))
+		return waiting_before(r) >= WAIT_ROUTE_MAX;
+	return !turn_worth_waiting(request_queued(f, r->service->name) +
+					   s->others_queued,
+				   request_sums(r, now).memory, wait_max_us(r));
+}
+
+void request_place(struct request *r, int64_t now)
+{
+	bool any;
+
+	if (r->deadline_us - now < REQUEST_LEFT_MIN_US) {
+		request_refuse(r, -MW_EDEADLINE, "no time left", now);
+		return;
+	}
+	if (try_place(r, now, &any))
+		return;
+	if (r->fwd->n_waiting >= WAITING_MAX || (any && is_hopeless(r, now))) {
+		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
+		return;
+	}
+	request_log(r, "queued", any ? "full" : "no endpoint", now);
+	wait_for_room(r);
+}
+
+void request_pump(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+	bool any;
+
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		try_place(r, now, &any);
+}
+
+void request_tick(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+
+	request_pump(f, now);
+	list_for_each_entry_safe (r, tmp, &f->requests, node)
+		if (r->move.state != MOVE_NONE)
+			move_tick(r, now);
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		if (now - r->arrived_us >= wait_max_us(r))
+			request_refuse(r,
+				       r->no_endpoint ? -MW_ENOENDPOINT
+						      : -MW_EQUEUEFULL,
+				       "no room in time", now);
+}
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -83,6 +83,17 @@
 	}
 }
 
+static void note_pause(struct request *r, int64_t now)
+{
+	int64_t pause = now - r->last_event_us;
+
+	counter_observe(C_TOKEN_GAP_US, "forwarded", pause);
+	if (pause <= r->pause_us)
+		return;
+	r->pause_us = pause;
+	r->pause_at_us = now;
+}
+
 static void take_event(struct request *r, const char *p, size_t n, int64_t now)
 {
 	uint64_t id;
@@ -104,8 +115,7 @@
 			slog_end(&l);
 		}
 		if (r->events)
-			counter_observe(C_TOKEN_GAP_US, "forwarded",
-					now - r->last_event_us);
+			note_pause(r, now);
 		r->events++;
 		r->last_event_us = now;
 		if (r->events % COUNT_EVENTS == 0)
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -15,22 +15,6 @@
 /* Endpoints that one request may fail to reach. */
 #define UNSENT_MAX 3
 
-/*
- * A request waits for room at most this part of the time to the answer that
- * its caller aims at: later it could not be answered in time, and a caller
- * that is refused may come back elsewhere.
- */
-#define WAIT_PART 6
-
-/*
- * Generations of one route that wait on one host.  All hosts together start
- * some six a second when endpoints are full, so more would wait too long.
- */
-#define WAIT_ROUTE_MAX 3
-
-/* Requests that wait on one host; more are refused at once. */
-#define WAITING_MAX 256
-
 /* Requests open on one host, each with buffers of some 10 KiB. */
 #define REQUESTS_MAX 3000
 
@@ -56,9 +40,6 @@
 /* Time that an engine takes for a token beside some others, microseconds. */
 #define TOKEN_US 10000
 
-/* Less time than this is of no use to an endpoint. */
-#define LEFT_MIN_US (10 * USEC_PER_MSEC)
-
 /* Memory is forecast for a length that is exceeded once in three times. */
 #define NEED_QUANTILE 0.66
 
@@ -92,8 +73,13 @@
 	slog_int(&l, "attempts", r->attempts);
 	if (r->status)
 		slog_int(&l, "status", r->status);
-	if (r->events)
+	if (r->events) {
 		slog_int(&l, "events", (int64_t)r->events);
+		slog_int(&l, "first_event_us",
+			 r->first_event_us - r->arrived_us);
+		slog_int(&l, "pause_us", r->pause_us);
+		slog_int(&l, "pause_ended_us", now - r->pause_at_us);
+	}
 	slog_end(&l);
 }
 
@@ -263,156 +249,6 @@
 		       "timeout", now);
 }
 
-/* ---- placing ---- */
-
-static void wait_for_room(struct request *r)
-{
-	struct fwd *f = r->fwd;
-	struct list *at;
-
-	r->state = REQUEST_WAITING;
-	/* In order of rank, then of arrival. */
-	for (at = f->waiting.prev; at != &f->waiting; at = at->prev) {
-		struct request *o = list_entry(at, struct request, wait_node);
-		if (o->rank < r->rank ||
-		    (o->rank == r->rank && o->arrived_us <= r->arrived_us))
-			break;
-	}
-	list_add(at, &r->wait_node);
-	f->n_waiting++;
-}
-
-/* Whether it waits its turn among the requests of all hosts. */
-static bool takes_turns(const struct request *r)
-{
-	return r->generation && !request_is_urgent(r);
-}
-
-uint64_t request_queued(struct fwd *f, const char *service)
-{
-	struct request *r;
-	uint64_t tokens = 0;
-
-	list_for_each_entry (r, &f->waiting, wait_node)
-		if (takes_turns(r) && !strcmp(r->service->name, service))
-			tokens += r->need_tokens;
-	return tokens;
-}
-
-/* A request that is not in the queue counts as if it were. */
-static bool has_turn(struct request *r, int64_t now)
-{
-	struct fwd *f = r->fwd;
-	struct service_state *s = endpoints_service(f, r->service->name);
-	bool queued = r->wait_node.next != &r->wait_node;
-	uint64_t own = request_queued(f, r->service->name) +
-		       (queued ? 0 : r->need_tokens);
-
-	if (!takes_turns(r))
-		return true;
-	turn_begin(&s->turn, request_sums(r, now).room, own, s->others_queued,
-		   now);
-	return turn_take(&s->turn, r->need_tokens, g_rand_double(f->rand));
-}
-
-/* Returns whether the request was placed. */
-static bool try_place(struct request *r, int64_t now, bool *any)
-{
-	struct fwd *f = r->fwd;
-	struct target *t;
-
-	*any = true;
-	if (!has_turn(r, now))
-		return false;
-	t = request_choose(r, r->tried, f->conf->dc, any, now);
-	/* The endpoint that refused is better than none. */
-	if (!t && *r->tried && !*any)
-		t = request_choose(r, "", f->conf->dc, any, now);
-	r->no_endpoint = !*any;
-	if (!t)
-		return false;
-	if (r->wait_node.next != &r->wait_node) {
-		list_del(&r->wait_node);
-		f->n_waiting--;
-	}
-	request_send(r, t, now);
-	return true;
-}
-
-/* Requests of the same route that wait already. */
-static unsigned int waiting_before(const struct request *r)
-{
-	struct request *o;
-	unsigned int n = 0;
-
-	list_for_each_entry (o, &r->fwd->waiting, wait_node)
-		n += o->route == r->route;
-	return n;
-}
-
-static int64_t wait_max_us(const struct request *r)
-{
-	return r->route->aim_us / WAIT_PART;
-}
-
-/* Whether it would wait too long behind the queues of all hosts. */
-static bool is_hopeless(struct request *r, int64_t now)
-{
-	struct fwd *f = r->fwd;
-	const struct service_state *s = endpoints_service(f, r->service->name);
-
-	if (!r->generation)
-		return false;
-	if (!takes_turns(r))
-		return waiting_before(r) >= WAIT_ROUTE_MAX;
-	return !turn_worth_waiting(request_queued(f, r->service->name) +
-					   s->others_queued,
-				   request_sums(r, now).memory, wait_max_us(r));
-}
-
-static void place(struct request *r, int64_t now)
-{
-	bool any;
-
-	if (r->deadline_us - now < LEFT_MIN_US) {
-		request_refuse(r, -MW_EDEADLINE, "no time left", now);
-		return;
-	}
-	if (try_place(r, now, &any))
-		return;
-	if (r->fwd->n_waiting >= WAITING_MAX || (any && is_hopeless(r, now))) {
-		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
-		return;
-	}
-	request_log(r, "queued", any ? "full" : "no endpoint", now);
-	wait_for_room(r);
-}
-
-void request_pump(struct fwd *f, int64_t now)
-{
-	struct request *r, *tmp;
-	bool any;
-
-	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
-		try_place(r, now, &any);
-}
-
-void request_tick(struct fwd *f, int64_t now)
-{
-	struct request *r, *tmp;
-
-	request_pump(f, now);
-	list_for_each_entry_safe (r, tmp, &f->requests, node)
-		if (r->move.state != MOVE_NONE)
-			move_tick(r, now);
-	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
-		if (now - r->arrived_us >= wait_max_us(r))
-			request_refuse(r,
-				       r->no_endpoint ? -MW_ENOENDPOINT
-						      : -MW_EQUEUEFULL,
-				       "no room in time", now);
-}
-
 /* ---- attempt ---- */
 
 static void on_headers(void *arg, struct fetch *fetch, int status)
@@ -472,7 +308,7 @@
  */
 static bool may_repeat(struct request *r, bool ran, bool arrived, int64_t now)
 {
-	if (r->deadline_us - now < LEFT_MIN_US)
+	if (r->deadline_us - now < REQUEST_LEFT_MIN_US)
 		return false;
 	if (!arrived)
 		return ++r->unsent <= UNSENT_MAX;
@@ -494,7 +330,7 @@
 	buf_consume(&r->body, buf_unread(&r->body));
 	r->status = 0;
 	r->body_too_big = false;
-	place(r, now);
+	request_place(r, now);
 }
 
 static void attempt_failed(struct request *r, const struct fetch_result *res,
@@ -709,5 +545,5 @@
 	if (!ends_in_time(r, now))
 		request_refuse(r, -MW_EDRAINING, "shutting down", now);
 	else
-		place(r, now);
+		request_place(r, now);
 }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -1,6 +1,7 @@
 #ifndef FORWARD_REQUEST_H
 #define FORWARD_REQUEST_H
 
+#include "base/clock.h"
 #include "forward/fwd.h"
 #include "forward/place.h"
 
@@ -14,6 +15,9 @@
  * - Bytes of an answer reach the caller from one run only.
  */
 
+/* Less time than this is of no use to an endpoint. */
+#define REQUEST_LEFT_MIN_US (10 * USEC_PER_MSEC)
+
 enum request_state {
 	REQUEST_WAITING, /* for an endpoint with room */
 	REQUEST_SENT,	 /* at an endpoint, no answer yet */
@@ -95,7 +99,9 @@
 	uint64_t events;
 	int64_t first_event_us;
 	int64_t last_event_us;
-	bool ended; /* the endpoint has sent the end */
+	int64_t pause_us;    /* longest one between two events */
+	int64_t pause_at_us; /* when it ended */
+	bool ended;	     /* the endpoint has sent the end */
 	struct move move;
 };
 
@@ -140,6 +146,10 @@
 /* Counts the memory that it is expected to need anew. */
 void request_count(struct request *r, int64_t now);
 
+/* ---- queue.c ---- */
+/* Sends the request to an endpoint, lets it wait, or refuses it. */
+void request_place(struct request *r, int64_t now);
+
 /* ---- relay.c ---- */
 void relay_begin(struct request *r, int64_t now);
 void relay_data(struct request *r, const char *p, size_t n, int64_t now);
