--- a/tools/fault_run.sh
+++ b/tools/fault_run.sh
@@ -45,7 +45,8 @@
 
 # rnd N: sets R to a number from 0 to N - 1.  The low bits of a linear
 # congruential generator have short periods, therefore the shift.
-rnd_state=$((SEED * 2654435761 % 2147483648))
+# The product stays within 64 bits for any seed, and is never negative.
+rnd_state=$((SEED % 1000003 * 2654435761 % 2147483648))
 rnd() {
 	rnd_state=$(((rnd_state * 1103515245 + 12345) % 2147483648))
 	R=$(((rnd_state >> 12) % $1))
@@ -186,7 +187,7 @@
 
 # operator N: changes one setting, from the version that some host tells.
 operator() {
-	rnd_state=$((SEED * 7919 + $1))
+	rnd_state=$(((SEED % 1000003 * 7919 + $1) % 2147483648))
 	i=0
 	while [ ! -e "$DIR/stop" ]; do
 		i=$((i + 1))
@@ -203,7 +204,7 @@
 
 # Sends requests that crash endpoints, each through several hosts in turn.
 crasher() {
-	rnd_state=$((SEED * 104729))
+	rnd_state=$((SEED % 1000003 * 104729 % 2147483648))
 	i=0
 	while [ ! -e "$DIR/no_crash" ]; do
 		i=$((i + 1))
@@ -504,6 +505,14 @@
 done
 wait "$(pid caller)" || failed="$failed the caller failed;"
 wait_for 10 same_version >>"$DIR/run.log" || failed="$failed versions differ;"
+# Parts that ended early would leave the run without load.
+changes=$(cat "$H"/operator[12] | grep -c change_answer)
+crashing=$(grep -c '\.1: ' "$DIR/crasher.log")
+[ "$changes" -ge $((SECONDS_ / 2)) ] ||
+	failed="$failed only $changes changes;"
+[ "$crashing" -ge $((SECONDS_ / 40)) ] ||
+	failed="$failed only $crashing crashing requests;"
+[ "$rounds" -ge $((SECONDS_ / 20)) ] || failed="$failed only $rounds rounds;"
 curl -s -m 5 -H "$AUTH" "http://127.0.$NET.$(any_leader):$CTL_ADMIN_PORT/admin/history?limit=1000" >"$H/list"
 for l in "$DIR"/*.log; do
 	grep -l 'Sanitizer\|assertion\|Assertion' "$l" >/dev/null &&
