forward: Queues of hosts that are cut off; log why a request does not wait

Cause: a host that is cut off from the control processes kept the last queues that it had heard of, and would have refused reports for as long as the cut lasts. The log did not tell the queues that led to a refusal.

Change: sums that are older than a second do not count; the host then takes the others for such as itself (turn_others(), with a test). A line queue_too_long has the queues here and elsewhere, the memory and the age of the sums.

--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "obs/slog.h"
 
 /*
  * Requests that wait for an endpoint with room, by rank.
@@ -62,6 +63,13 @@
 	return tokens;
 }
 
+static uint64_t queued_elsewhere(const struct fwd *f,
+				 const struct service_state *s, uint64_t own,
+				 int64_t now)
+{
+	return turn_others(own, s->others_queued, now - f->totals_us, f->hosts);
+}
+
 /* A request that is not in the queue counts as if it were. */
 static bool has_turn(struct request *r, int64_t now)
 {
@@ -73,8 +81,8 @@
 
 	if (!takes_turns(r))
 		return true;
-	turn_begin(&s->turn, request_sums(r, now).room, own, s->others_queued,
-		   now);
+	turn_begin(&s->turn, request_sums(r, now).room, own,
+		   queued_elsewhere(f, s, own, now), now);
 	return turn_take(&s->turn, r->need_tokens, g_rand_double(f->rand));
 }
 
@@ -118,6 +126,21 @@
 	return r->route->aim_us / WAIT_PART;
 }
 
+/* What decided that a request does not wait. */
+static void log_hopeless(const struct request *r, uint64_t own, uint64_t others,
+			 uint64_t memory, int64_t now)
+{
+	struct slog l = slog_begin("queue_too_long");
+
+	slog_str(&l, "request", r->ask.id);
+	slog_int(&l, "queued_here_tokens", (int64_t)own);
+	slog_int(&l, "queued_elsewhere_tokens", (int64_t)others);
+	slog_int(&l, "memory_tokens", (int64_t)memory);
+	slog_int(&l, "wait_max_us", wait_max_us(r));
+	slog_int(&l, "sums_age_us", now - r->fwd->totals_us);
+	slog_end(&l);
+}
+
 /* Whether it would wait too long behind the queues of all hosts. */
 static bool is_hopeless(struct request *r, int64_t now)
 {
@@ -128,9 +151,14 @@
 		return false;
 	if (!takes_turns(r))
 		return waiting_before(r) >= WAIT_ROUTE_MAX;
-	return !turn_worth_waiting(request_queued(f, r->service->name) +
-					   s->others_queued,
-				   request_sums(r, now).memory, wait_max_us(r));
+	uint64_t own = request_queued(f, r->service->name);
+	uint64_t others = queued_elsewhere(f, s, own, now);
+	uint64_t memory = request_sums(r, now).memory;
+
+	if (turn_worth_waiting(own + others, memory, wait_max_us(r)))
+		return false;
+	log_hopeless(r, own, others, memory, now);
+	return true;
 }
 
 void request_place(struct request *r, int64_t now)
--- a/src/forward/turn.c
+++ b/src/forward/turn.c
@@ -1,5 +1,9 @@
 #include "forward/turn.h"
 
+/* Sums over the other hosts come every 0.1 s; older ones say nothing of queues
+ * that last for a second. */
+#define TOLD_VALID_US 1000000
+
 /* Long generations keep their memory for some ten seconds. */
 #define TURNOVER_US 10000000
 
@@ -32,3 +36,11 @@
 {
 	return (double)queued * TURNOVER_US <= (double)memory * (double)wait_us;
 }
+
+uint64_t turn_others(uint64_t own, uint64_t told, int64_t told_age_us,
+		     unsigned int hosts)
+{
+	if (told_age_us <= TOLD_VALID_US)
+		return told;
+	return hosts > 1 ? own * (hosts - 1) : 0;
+}
--- a/src/forward/turn.h
+++ b/src/forward/turn.h
@@ -39,6 +39,13 @@
  */
 bool turn_take(struct turn *t, uint64_t tokens, double draw);
 
+/*
+ * What waits on other hosts: as they told so long ago, or, on a host that is
+ * cut off from control, as if each were like this one.
+ */
+uint64_t turn_others(uint64_t own, uint64_t told, int64_t told_age_us,
+		     unsigned int hosts);
+
 /*
  * Whether what comes now is likely to be placed within wait_us.  queued: what
  * waits on all hosts; memory: of all endpoints, in tokens.
--- a/tests/test_turn.c
+++ b/tests/test_turn.c
@@ -70,13 +70,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a host that refuses for as long as it is cut off, because
+ * others had long queues when it heard of them last.
+ */
+START_TEST(test_old_sums)
+{
+	ck_assert_uint_eq(turn_others(NEED, 50 * NEED, 200 * MS, 8), 50 * NEED);
+	ck_assert_uint_eq(turn_others(NEED, 50 * NEED, 5000 * MS, 8), 7 * NEED);
+	ck_assert_uint_eq(turn_others(0, 50 * NEED, 5000 * MS, 8), 0);
+	ck_assert_uint_eq(turn_others(NEED, 0, 5000 * MS, 0), 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_hosts_share_room,
-		test_room_for_all,
-		test_one_share_a_round,
-		test_worth_waiting,
+		test_hosts_share_room,	test_room_for_all,
+		test_one_share_a_round, test_worth_waiting,
+		test_old_sums,
 	};
 
 	return check_main("turn", tests, G_N_ELEMENTS(tests));
