forward: Tell "no endpoint" from a full queue while it is not the host's turn

Cause: a report that waited its turn was taken for one that met full endpoints, so with no usable endpoint at all it was refused with "queue is full" instead of "no endpoint".

--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -71,7 +71,7 @@
 }
 
 /* A request that is not in the queue counts as if it were. */
-static bool has_turn(struct request *r, int64_t now)
+static bool has_turn(struct request *r, uint64_t room, int64_t now)
 {
 	struct fwd *f = r->fwd;
 	struct service_state *s = endpoints_service(f, r->service->name);
@@ -79,22 +79,23 @@
 	uint64_t own = request_queued(f, r->service->name) +
 		       (queued ? 0 : r->need_tokens);
 
-	if (!takes_turns(r))
-		return true;
-	turn_begin(&s->turn, request_sums(r, now).room, own,
-		   queued_elsewhere(f, s, own, now), now);
+	turn_begin(&s->turn, room, own, queued_elsewhere(f, s, own, now), now);
 	return turn_take(&s->turn, r->need_tokens, g_rand_double(f->rand));
 }
 
-/* Returns whether the request was placed. */
+/* Returns whether the request was placed; *any whether an endpoint serves. */
 static bool try_place(struct request *r, int64_t now, bool *any)
 {
 	struct fwd *f = r->fwd;
 	struct target *t;
 
-	*any = true;
-	if (!has_turn(r, now))
-		return false;
+	if (takes_turns(r)) {
+		struct place_sums sums = request_sums(r, now);
+		*any = sums.memory > 0;
+		r->no_endpoint = !*any;
+		if (!*any || !has_turn(r, sums.room, now))
+			return false;
+	}
 	t = request_choose(r, r->tried, f->conf->dc, any, now);
 	/* The endpoint that refused is better than none. */
 	if (!t && *r->tried && !*any)
