forward, tests: Remove fields that nothing uses; one copy of the scripts' functions

Cause: reading the whole change again. The time to the first answer, the time that a link is free, the length that a caller guesses and three values of an engine's settings were decoded or stored and never used. A move tried to leave out the target that had refused it, after that name had been cleared, so only the source was left out. soak.sh repeated functions of fault_run.sh.

Change: the fields are gone; a move leaves out its source by name, which is what it did.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -60,7 +60,6 @@
 				      t->used_tokens),
 			.waiting = t->waiting,
 			.prefill = t->prefill + t->others_prefill,
-			.slow_us = t->slow_us,
 			.tie = g_rand_int(f->rand),
 		};
 	}
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -19,9 +19,6 @@
 /* Hosts until their number is known. */
 #define HOSTS_ASSUMED 8
 
-/* Weight of a new measurement in the smoothed time of calls, percent. */
-#define SMOOTH_PERCENT 20
-
 static void target_free(void *p)
 {
 	struct target *t = p;
@@ -59,8 +56,6 @@
 	t->avoid_until_us = 0;
 	t->failures = 0;
 	t->health = (struct health){0};
-	t->slow_us = 0;
-	t->link_free_us = 0;
 	t->others_open = 0;
 	t->others_tokens = t->others_prefill = 0;
 	t->serving = false;
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -64,8 +64,6 @@
 	int64_t avoid_until_us;
 	unsigned int failures;
 	struct health health;
-	int64_t slow_us; /* smoothed time to the first answer, calls only */
-	int64_t link_free_us; /* moves from and to it are sent one by one */
 };
 
 /* What this host knows of one service. */
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -104,18 +104,18 @@
 	r->move.next = request_fetch(r, t, r->move.handle, now);
 }
 
-bool move_answered(struct request *r, int status, bool whole, int64_t now)
+void move_answered(struct request *r, int status, bool whole, int64_t now)
 {
 	struct target *t = endpoints_target(r->fwd, r->move.target.endpoint);
 
 	r->move.status = status;
 	if (status != 200)
-		return false; /* the text of the refusal follows */
+		return; /* the text of the refusal follows */
 	if (!whole || !t) {
 		fetch_cancel(r->move.next);
 		r->move.next = NULL;
 		move_refused(r, now);
-		return false;
+		return;
 	}
 	log_move(r, "done", now);
 	struct fetch *next = r->move.next;
@@ -131,7 +131,6 @@
 	r->move.handle[0] = '\0';
 	if (!t->serving)
 		move_begin(r, now);
-	return true;
 }
 
 void move_refused(struct request *r, int64_t now)
@@ -146,12 +145,10 @@
 {
 	bool any;
 	struct target *source = endpoints_target(r->fwd, r->move.source);
-	g_autofree char *last = g_strdup(r->move.target.endpoint);
-	struct target *t;
+	struct target *t = request_choose(r, r->move.source,
+					  source ? source->dc : "", &any, now);
 
-	request_drop_copy(r, &r->move.target);
-	t = request_choose(r, last, source ? source->dc : "", &any, now);
-	if (!t || !strcmp(t->id, r->move.source))
+	if (!t)
 		return false;
 	g_strlcpy(r->move.target_addr, t->addr, sizeof(r->move.target_addr));
 	request_take_copy(r, &r->move.target, t);
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -99,7 +99,6 @@
 {
 	int64_t us = distance_us[t->distance < 2 ? t->distance : 2];
 
-	us += t->slow_us;
 	if (!ask->generation) {
 		/* Beyond the slots requests wait. */
 		int64_t over = (int64_t)t->open - (int64_t)t->slots + 1;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -18,7 +18,6 @@
 
 struct place_target {
 	bool usable;   /* serving, and not avoided after a failure */
-	bool silent;   /* not announced for some time; used last */
 	bool excluded; /* the request was there already */
 	bool taken;    /* kept for what leaves another endpoint */
 	unsigned int
@@ -30,8 +29,7 @@
 	uint64_t tokens;      /* that its generations will need */
 	uint64_t prefill;     /* prompt tokens not read yet */
 	unsigned int waiting; /* requests in its own queue */
-	int64_t slow_us; /* recent time to the first answer above the usual */
-	uint32_t tie;	 /* random; different for each host and request */
+	uint32_t tie;	      /* random; different for each host and request */
 };
 
 struct place_ask {
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -19,11 +19,8 @@
 	bool engine;		/* model endpoints */
 	unsigned int slots;	/* of one engine */
 	uint64_t memory_tokens;
-	uint64_t token_bytes; /* memory of one token when it is moved */
-	double link_mbps;     /* of an engine, for moves */
 	bool moves;
 	unsigned int event_tokens; /* tokens in one event of a stream */
-	int64_t handle_us;	   /* how long a copy is kept */
 };
 
 enum plan_kind {
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -169,8 +169,8 @@
 void move_begin(struct request *r, int64_t now);
 /* The stream at the source has broken off; true if it goes on elsewhere. */
 bool move_source_ended(struct request *r);
-/* The target has answered; true if its events follow. */
-bool move_answered(struct request *r, int status, bool whole, int64_t now);
+/* The target has answered; with status 200 its events follow. */
+void move_answered(struct request *r, int status, bool whole, int64_t now);
 /* The transfer from the target has ended without such an answer. */
 void move_refused(struct request *r, int64_t now);
 void move_tick(struct request *r, int64_t now);
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -52,7 +52,6 @@
 	const char *model;		      /* NULL: not a generation */
 	uint32_t prompt_tokens;		      /* 0: not said */
 	uint32_t max_tokens;		      /* output at most, 0: not said */
-	uint32_t expected_tokens;	      /* caller's guess, 0: none */
 	struct ask_part parts[ASK_PARTS_MAX]; /* of the prompt, in order */
 	size_t n_parts;
 	uint64_t last_event; /* newest event that the caller has, 0: none */
--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -43,6 +43,39 @@
 	awk -v n="$1" '$1 == n { p = $2 } END { print p }' "$PIDS"
 }
 
+# kill_one NAME [SIGNAL]: ends a process and forgets its id, which the system
+# may use again.
+kill_one() {
+	k=$(pid "$1")
+	[ -n "$k" ] || return 0
+	kill "-${2:-KILL}" "$k" 2>/dev/null
+	wait "$k" 2>/dev/null
+	awk -v p="$k" '$2 != p' "$PIDS" >"$PIDS.new" && mv "$PIDS.new" "$PIDS"
+}
+
+# Random numbers that a seed decides, for randomised runs.
+#
+# rnd_seed SEED FACTOR [OFFSET]: begins a sequence.  The seed is reduced first,
+# so that the product stays within 64 bits and is never negative.
+rnd_seed() {
+	rnd_state=$((($1 % 1000003 * $2 + ${3:-0}) % 2147483648))
+}
+# rnd N: sets R to a number from 0 to N - 1.  The low bits of a linear
+# congruential generator have short periods, therefore the shift.
+rnd() {
+	rnd_state=$(((rnd_state * 1103515245 + 12345) % 2147483648))
+	R=$(((rnd_state >> 12) % $1))
+}
+# pick WORD...: sets P to one of the words.
+pick() {
+	rnd $#
+	shift "$R"
+	P=$1
+}
+now_us() {
+	date +%s%6N
+}
+
 # Control processes as a process in data centre $1 dials them.
 control_list() {
 	if [ -z "${RELAY:-}" ]; then
