tests: Wait for the hub before status.sh cuts a data centre off

Cause: after ctl3 starts again, the hub of dc3 moves from entry3 back to ctl3, in the failing runs after the cut had begun.

--- a/tests/scripts/status.sh
+++ b/tests/scripts/status.sh
@@ -12,7 +12,7 @@
 }
 
 check() {
-	mw status --check >"$DIR/check" 2>"$DIR/check.err"
+	mw status --check >"$DIR/check" 2>>"$DIR/check.err"
 	echo "check: exit status $?" >>"$DIR/check"
 	fixed <"$DIR/check"
 }
@@ -110,6 +110,12 @@
 	echo "its age grows"
 start_control 3
 wait_for 20 not_told voters && echo "no voter is missing"
+# A host that changes its hub counts in no island for three seconds.
+hub_is_back() {
+	grep 'is the hub of this host' "$DIR/entry3.log" | tail -n 1 |
+		grep -q 'ctl3 is'
+}
+wait_for 30 hub_is_back
 
 echo "== a data centre is cut off"
 cut_dc3 both
@@ -119,7 +125,7 @@
 before=$(age "data centre dc3")
 sleep 3
 [ "$(age "data centre dc3")" -ge $((before + 2)) ] && echo "its age grows"
-mw status 2>/dev/null | grep -E '^(data_centre|host|voter) ' | fixed | tr -s ' '
+mw status 2>>"$DIR/check.err" | grep -E '^(data_centre|host|voter) ' | fixed | tr -s ' '
 mw --id=s1 --leave-out=dc3 tree set accounts/west/acme weight 200 2>&1
 wait_for 15 told "was left out by name"
 check | grep -A 2 "^degraded: entry3"
