entry: Log each change of the mode in which a host serves

The host now logs the new and the old mode, the age of the lease, its hub and when it was heard, and the version of the tree.

island.sh asks for the line on all three hosts; the code before has no such line.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -2,6 +2,7 @@
 #include "entry/entry.h"
 
 #include <assert.h>
+#include <inttypes.h>
 #include <stdarg.h>
 #include <string.h>
 #include <sodium.h>
@@ -61,6 +62,28 @@
 	return hostcfg_mode(&e->session.cfg, now);
 }
 
+/* Whether it serves, and why not, changes what becomes of every request. */
+static void log_mode(struct entry *e, int64_t now)
+{
+	struct session *s = &e->session;
+	const struct hostcfg *c = &s->cfg;
+	enum host_mode mode = entry_mode(e, now);
+
+	if (mode == s->mode)
+		return;
+	log_info("config",
+		 "%s after %s: lease ended %" PRId64
+		 " ms ago, hub %s heard %" PRId64
+		 " ms ago and %s the leader, %sinformed, version %" PRIu64 "%s",
+		 host_mode_name(mode), host_mode_name(s->mode),
+		 (now - c->lease_until_us) / USEC_PER_MSEC,
+		 *s->hub ? s->hub : "-", (now - c->hub_sent_us) / USEC_PER_MSEC,
+		 c->hub_leader_contact ? "hears" : "does not hear",
+		 c->informed ? "" : "not ", c->tree ? tree_version(c->tree) : 0,
+		 c->pending ? ", a change is pending" : "");
+	s->mode = mode;
+}
+
 bool entry_ready(struct entry *e, int64_t now)
 {
 	enum host_mode mode = entry_mode(e, now);
@@ -164,6 +187,7 @@
 	dispatch_watch(e, now);
 	view_tick(e, now);
 	marks_tick(e, now);
+	log_mode(e, now);
 	check_drained(e, now);
 	event_ring_flush(e->events);
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -60,6 +60,7 @@
 /* Contact with the control group and the hub. */
 struct session {
 	struct hostcfg cfg;
+	enum host_mode mode; /* when it was logged last */
 	ev_timer renew_timer;
 	ev_timer report_timer;
 	bool tree_asked;
--- a/tests/scripts/island.sh
+++ b/tests/scripts/island.sh
@@ -47,6 +47,10 @@
 	wait_for 10 hub_is $h entry3 && echo "entry$h uses the hub entry3"
 done
 wait_for 20 all_states island && echo "dc3 serves as an island"
+for h in 3 32 33; do
+	wait_for 5 grep -q 'config: island after' "$DIR/entry$h.log" &&
+		echo "entry$h logs why it serves as an island"
+done
 kill -0 $open && echo "the stream from before the cut is open"
 for h in 3 32 33; do
 	caller $h --model=write-up --prompt="F12" --max-tokens=5 --tries=1 |
