forward: Log what decided that a queued generation found no room

The line no_room now carries the same inputs as queue_too_long: need, queues, room, memory, the counts of endpoints by what keeps them from taking more, and the age of the sums.

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -87,10 +87,16 @@
 		if (!t->usable)
 			continue;
 		s.memory += t->memory_tokens;
-		if (t->open >= slots || t->waiting >= WAITING_MAX ||
-		    t->tokens >= memory || t->prefill >= READ_MAX_TOKENS)
-			continue;
-		s.room += MIN(memory - t->tokens, READ_MAX_TOKENS - t->prefill);
+		s.usable++;
+		if (t->open >= slots || t->tokens >= memory)
+			s.full++;
+		else if (t->waiting >= WAITING_MAX)
+			s.queues++;
+		else if (t->prefill >= READ_MAX_TOKENS)
+			s.reading++;
+		else
+			s.room += MIN(memory - t->tokens,
+				      READ_MAX_TOKENS - t->prefill);
 	}
 	return s;
 }
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -52,6 +52,11 @@
 struct place_sums {
 	uint64_t room;	 /* for work that may wait, tokens */
 	uint64_t memory; /* of the endpoints that can be used, tokens */
+	/* Endpoints that can be used, and those of them without room. */
+	unsigned int usable;
+	unsigned int full;    /* of memory or slots */
+	unsigned int queues;  /* they have a queue of their own */
+	unsigned int reading; /* of prompts that are still to be read */
 };
 
 struct place_sums place_sum(const struct place_target *targets, size_t n);
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -127,18 +127,29 @@
 	return r->route->aim_us / WAIT_PART;
 }
 
-/* What decided that a request does not wait. */
-static void log_hopeless(const struct request *r, uint64_t own, uint64_t others,
-			 uint64_t memory, int64_t now)
+/* What decided that a request does not wait, or waits no longer. */
+static void log_queue(struct request *r, const char *kind, int64_t now)
 {
-	struct slog l = slog_begin("queue_too_long");
+	struct fwd *f = r->fwd;
+	const struct service_state *s = endpoints_service(f, r->service->name);
+	uint64_t own = request_queued(f, r->service->name);
+	struct place_sums sums = request_sums(r, now);
+	struct slog l = slog_begin(kind);
 
 	slog_str(&l, "request", r->ask.id);
+	slog_int(&l, "need_tokens", (int64_t)r->need_tokens);
 	slog_int(&l, "queued_here_tokens", (int64_t)own);
-	slog_int(&l, "queued_elsewhere_tokens", (int64_t)others);
-	slog_int(&l, "memory_tokens", (int64_t)memory);
+	slog_int(&l, "queued_elsewhere_tokens",
+		 (int64_t)queued_elsewhere(f, s, own, now));
+	slog_int(&l, "room_tokens", (int64_t)sums.room);
+	slog_int(&l, "memory_tokens", (int64_t)sums.memory);
+	slog_int(&l, "endpoints", sums.usable);
+	slog_int(&l, "full", sums.full);
+	slog_int(&l, "with_queue", sums.queues);
+	slog_int(&l, "reading", sums.reading);
+	slog_int(&l, "turn_left_tokens", (int64_t)s->turn.left);
 	slog_int(&l, "wait_max_us", wait_max_us(r));
-	slog_int(&l, "sums_age_us", now - r->fwd->totals_us);
+	slog_int(&l, "sums_age_us", now - f->totals_us);
 	slog_end(&l);
 }
 
@@ -158,7 +169,7 @@
 
 	if (turn_worth_waiting(own + others, memory, wait_max_us(r)))
 		return false;
-	log_hopeless(r, own, others, memory, now);
+	log_queue(r, "queue_too_long", now);
 	return true;
 }
 
@@ -197,10 +208,13 @@
 	list_for_each_entry_safe (r, tmp, &f->requests, node)
 		if (r->move.state != MOVE_NONE)
 			move_tick(r, now);
-	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
-		if (now - r->arrived_us >= wait_max_us(r))
-			request_refuse(r,
-				       r->no_endpoint ? -MW_ENOENDPOINT
-						      : -MW_EQUEUEFULL,
-				       "no room in time", now);
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
+		if (now - r->arrived_us < wait_max_us(r))
+			continue;
+		if (r->generation)
+			log_queue(r, "no_room", now);
+		request_refuse(
+			r, r->no_endpoint ? -MW_ENOENDPOINT : -MW_EQUEUEFULL,
+			"no room in time", now);
+	}
 }
