forward, control: Tell work when it changes, and only what changed

Cause: hosts reported their work every 100 ms and got the sums of all others every 100 ms.

A host now reports when its work changed, at the end of the loop's turn, and a control process tells its hosts the sums that changed, each 10 ms at most, less often when there are many hosts or rows (src/policy/tell.h). A row is told when the part of any host changed: the sum alone may be the same. All rows are told once a second, and to a host that may have missed some. Sums are made once for all hosts. Repeat rows, which nothing used, are removed.

test_use: a change behind the host's own, gaps, and a host that follows what it is told over 4,000 random steps; the code before had no partial sums.

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -463,11 +463,14 @@
 static void on_pump(struct ev_loop *loop, ev_prepare *w, int revents)
 {
 	struct ctl *c = w->data;
+	int64_t now = clock_mono_us();
 
 	(void)loop;
 	(void)revents;
 	ctl_log_pump(c);
-	ctl_document_confirm(c, clock_mono_us());
+	ctl_document_confirm(c, now);
+	if (c->feed)
+		ctl_feed_flush(c->feed, now);
 }
 
 /* Settings files are read at start; seeds are found through the roster. */
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -6,13 +6,15 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/use.h"
+#include "policy/tell.h"
 #include "obs/slog.h"
 
 /* Answers to a leave are waited for so long; endpoints wait a second. */
 #define SPREAD_TIMEOUT_MS 600
 
-/* Sums of work go out this often; a server's own report is older (500 ms). */
-#define TOTALS_INTERVAL_US (100 * USEC_PER_MSEC)
+/* Sums of work go out this often if nothing changes, so that a host knows that
+ * this process is alive. */
+#define TOTALS_IDLE_US (100 * USEC_PER_MSEC)
 
 /*
  * Until then a process may not have heard of an endpoint that others know;
@@ -28,6 +30,7 @@
 	struct use *use;
 	int64_t started_us;
 	int64_t totals_us;
+	unsigned int told; /* hosts, with the last sums */
 	int64_t expired_us;
 };
 
@@ -284,6 +287,9 @@
 
 static void send_totals(struct ctl_feed *f, int64_t now)
 {
+	f->totals_us = now;
+	f->told = 0;
+	use_sum(f->use, now);
 	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p)) {
 		Mw__Frame frame = MW__FRAME__INIT;
 
@@ -294,9 +300,16 @@
 		frame.use_totals = use_totals(f->use, peer_hello(p)->host, now);
 		peer_send(p, &frame);
 		use_totals_free(frame.use_totals);
+		f->told++;
 	}
 }
 
+void ctl_feed_flush(struct ctl_feed *f, int64_t now)
+{
+	if (use_is_new(f->use) && now - f->totals_us >= tell_sums_us(f->told))
+		send_totals(f, now);
+}
+
 static void on_stale(const struct registry_row *row, void *arg)
 {
 	log_row(row->info, "silence");
@@ -305,10 +318,8 @@
 
 void ctl_feed_tick(struct ctl_feed *f, int64_t now)
 {
-	if (now - f->totals_us >= TOTALS_INTERVAL_US) {
-		f->totals_us = now;
+	if (now - f->totals_us >= TOTALS_IDLE_US)
 		send_totals(f, now);
-	}
 	if (now - f->expired_us >= EXPIRE_INTERVAL_US) {
 		f->expired_us = now;
 		registry_expire(f->registry, now, on_stale, f);
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -18,6 +18,8 @@
 
 void ctl_feed_peer_up(struct ctl_feed *f, struct peer *p);
 void ctl_feed_peer_down(struct ctl_feed *f, struct peer *p);
+/* Tells hosts of work that changed; for each turn of the loop. */
+void ctl_feed_flush(struct ctl_feed *f, int64_t now);
 void ctl_feed_tick(struct ctl_feed *f, int64_t now);
 
 /* Endpoints as known here; they belong to the feed. */
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -108,8 +108,33 @@
 		request_pump(f, now);
 }
 
+/* Returns whether there is less work than before. */
+static bool take_row(struct target *t, const Mw__UseRow *row)
+{
+	bool less =
+		row->streams < t->others_open || row->tokens < t->others_tokens;
+
+	t->others_open = row->streams;
+	t->others_tokens = row->tokens;
+	t->others_prefill = row->prefill;
+	t->used_tokens = row->used;
+	t->waiting = row->waiting;
+	t->health.others_failed = row->failed;
+	t->health.others_worked = row->worked;
+	return less;
+}
+
+static const Mw__UseRow *find_row(const Mw__UseTotals *totals, const char *id)
+{
+	for (size_t i = 0; i < totals->n_rows; i++)
+		if (!strcmp(totals->rows[i]->endpoint, id))
+			return totals->rows[i];
+	return NULL;
+}
+
 void endpoints_totals(struct fwd *f, const Mw__UseTotals *totals, int64_t now)
 {
+	static const Mw__UseRow none = MW__USE_ROW__INIT;
 	GHashTableIter iter;
 	struct service_state *s;
 	struct target *t;
@@ -117,26 +142,14 @@
 
 	f->hosts = MAX(totals->hosts, 1u);
 	g_hash_table_iter_init(&iter, f->targets);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&t)) {
-		freed |= t->others_open > 0;
-		t->others_open = 0;
-		t->others_tokens = t->others_prefill = 0;
-		t->used_tokens = 0;
-		t->waiting = 0;
-		t->health.others_failed = t->health.others_worked = 0;
-	}
+	while (!totals->partial &&
+	       g_hash_table_iter_next(&iter, NULL, (void **)&t))
+		if (!find_row(totals, t->id))
+			freed |= take_row(t, &none);
 	for (size_t i = 0; i < totals->n_rows; i++) {
-		const Mw__UseRow *row = totals->rows[i];
-		t = endpoints_target(f, row->endpoint);
-		if (!t)
-			continue;
-		t->others_open = row->streams;
-		t->others_tokens = row->tokens;
-		t->others_prefill = row->prefill;
-		t->used_tokens = row->used;
-		t->waiting = row->waiting;
-		t->health.others_failed = row->failed;
-		t->health.others_worked = row->worked;
+		t = endpoints_target(f, totals->rows[i]->endpoint);
+		if (t)
+			freed |= take_row(t, totals->rows[i]);
 	}
 	g_hash_table_iter_init(&iter, f->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
--- a/src/forward/follow.c
+++ b/src/forward/follow.c
@@ -9,6 +9,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "obs/slog.h"
+#include "policy/tell.h"
 #include "state/tree.h"
 
 /*
@@ -18,16 +19,13 @@
  */
 #define TREE_TIMEOUT_MS 800
 
-/*
- * Reports of work: when something changed, and at least this often, so that
- * control processes do not forget the host (USE_VALID_US).
- */
-#define USE_MIN_US (100 * USEC_PER_MSEC)
+/* Reports of work are made at least this often, so that control processes do
+ * not forget the host (USE_VALID_US). */
 #define USE_MAX_US (700 * USEC_PER_MSEC)
 
 /*
- * Sums come every 100 ms; after four missing ones, and a round trip, the
- * process that sends them is frozen or cut off.  It is asked again later.
+ * Sums come every 100 ms at least; after four missing ones, and a round trip,
+ * the process that sends them is frozen or cut off.  It is asked again later.
  */
 #define TOTALS_MISSING_US (450 * USEC_PER_MSEC)
 #define TOTALS_AVOID_US (4 * USEC_PER_SEC)
@@ -303,16 +301,23 @@
 	f->use_changed = false;
 	frame.body_case = MW__FRAME__BODY_USE_REPORT;
 	frame.use_report = endpoints_use(f, now);
+	f->use_rows = frame.use_report->n_rows;
 	peer_send(p, &frame);
 	endpoints_use_free(frame.use_report);
 }
 
-void follow_tick(struct fwd *f, int64_t now)
+void follow_flush(struct fwd *f, int64_t now)
 {
 	int64_t age = now - f->use_sent_us;
 
-	if (age >= USE_MAX_US || (f->use_changed && age >= USE_MIN_US))
+	if (age >= USE_MAX_US ||
+	    (f->use_changed && age >= tell_report_us(f->hosts, f->use_rows)))
 		report_use(f, now);
+}
+
+void follow_tick(struct fwd *f, int64_t now)
+{
+	follow_flush(f, now);
 	if (may_ask(f)) {
 		struct peer *p = next_to_ask(f);
 		if (p)
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -96,6 +96,14 @@
 		drain_tick(f, now);
 }
 
+/* Runs before the loop waits, after all events of its last turn. */
+static void on_flush(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	follow_flush(w->data, clock_mono_us());
+}
+
 static void on_term(struct ev_loop *loop, ev_signal *w, int revents)
 {
 	struct fwd *f = w->data;
@@ -178,6 +186,9 @@
 	ev_timer_init(&f->tick, on_tick, TICK_S, TICK_S);
 	f->tick.data = f;
 	ev_timer_start(loop, &f->tick);
+	ev_prepare_init(&f->flush, on_flush);
+	f->flush.data = f;
+	ev_prepare_start(loop, &f->flush);
 	watch_signal(f, &f->sigterm, SIGTERM, on_term);
 	watch_signal(f, &f->sigint, SIGINT, on_term);
 	watch_signal(f, &f->sighup, SIGHUP, on_hangup);
@@ -193,6 +204,7 @@
 	struct request *r, *tmp;
 
 	ev_timer_stop(f->loop, &f->tick);
+	ev_prepare_stop(f->loop, &f->flush);
 	ev_signal_stop(f->loop, &f->sigterm);
 	ev_signal_stop(f->loop, &f->sigint);
 	ev_signal_stop(f->loop, &f->sighup);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -108,6 +108,7 @@
 	uint64_t use_seq;
 	int64_t use_sent_us;
 	bool use_changed;
+	size_t use_rows;	/* of the last report */
 	int64_t totals_us;	/* when sums came last */
 	char reported_host[64]; /* control process that gets the reports */
 	char avoid_host[64];	/* one that did not answer them */
@@ -127,6 +128,7 @@
 	size_t n_waiting;
 
 	ev_timer tick;
+	ev_prepare flush;
 	ev_signal sigterm, sigint, sighup;
 	bool draining;
 	int64_t drain_us; /* when the shutdown began */
@@ -141,6 +143,8 @@
 int follow_start(struct fwd *f);
 void follow_stop(struct fwd *f);
 void follow_tick(struct fwd *f, int64_t now);
+/* Reports work that changed; for each turn of the loop. */
+void follow_flush(struct fwd *f, int64_t now);
 
 /* ---- reading.c ---- */
 void reading_init(struct fwd *f);
--- a/src/forward/turn.h
+++ b/src/forward/turn.h
@@ -16,7 +16,8 @@
  * hosts take to learn of each other's placements.
  */
 
-/* Reports and sums pass on every 0.1 s each, and 12 ms between regions. */
+/* Reports and sums pass on every 0.1 s each at most, and 12 ms between regions.
+ */
 #define TURN_ROUND_US 200000
 
 struct turn {
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -2122,51 +2122,6 @@
   assert(message->base.descriptor == &mw__queue_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   mw__repeat_row__init
-                     (Mw__RepeatRow         *message)
-{
-  static const Mw__RepeatRow init_value = MW__REPEAT_ROW__INIT;
-  *message = init_value;
-}
-size_t mw__repeat_row__get_packed_size
-                     (const Mw__RepeatRow *message)
-{
-  assert(message->base.descriptor == &mw__repeat_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t mw__repeat_row__pack
-                     (const Mw__RepeatRow *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &mw__repeat_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t mw__repeat_row__pack_to_buffer
-                     (const Mw__RepeatRow *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &mw__repeat_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Mw__RepeatRow *
-       mw__repeat_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Mw__RepeatRow *)
-     protobuf_c_message_unpack (&mw__repeat_row__descriptor,
-                                allocator, len, data);
-}
-void   mw__repeat_row__free_unpacked
-                     (Mw__RepeatRow *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &mw__repeat_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   mw__use_report__init
                      (Mw__UseReport         *message)
 {
@@ -7674,71 +7629,7 @@
   (ProtobufCMessageInit) mw__queue_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__repeat_row__field_descriptors[3] =
-{
-  {
-    "service",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Mw__RepeatRow, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "requests",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mw__RepeatRow, requests),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "repeats",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mw__RepeatRow, repeats),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned mw__repeat_row__field_indices_by_name[] = {
-  2,   /* field[2] = repeats */
-  1,   /* field[1] = requests */
-  0,   /* field[0] = service */
-};
-static const ProtobufCIntRange mw__repeat_row__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor mw__repeat_row__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mw.RepeatRow",
-  "RepeatRow",
-  "Mw__RepeatRow",
-  "mw",
-  sizeof(Mw__RepeatRow),
-  3,
-  mw__repeat_row__field_descriptors,
-  mw__repeat_row__field_indices_by_name,
-  1,  mw__repeat_row__number_ranges,
-  (ProtobufCMessageInit) mw__repeat_row__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mw__use_report__field_descriptors[6] =
 {
   {
     "host",
@@ -7788,18 +7679,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "repeats",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mw__UseReport, n_repeats),
-    offsetof(Mw__UseReport, repeats),
-    &mw__repeat_row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "loads",
     6,
@@ -7828,16 +7707,16 @@
 static const unsigned mw__use_report__field_indices_by_name[] = {
   0,   /* field[0] = host */
   1,   /* field[1] = incarnation */
-  5,   /* field[5] = loads */
-  6,   /* field[6] = queues */
-  4,   /* field[4] = repeats */
+  4,   /* field[4] = loads */
+  5,   /* field[5] = queues */
   3,   /* field[3] = rows */
   2,   /* field[2] = seq */
 };
-static const ProtobufCIntRange mw__use_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange mw__use_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 6, 4 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mw__use_report__descriptor =
 {
@@ -7847,10 +7726,10 @@
   "Mw__UseReport",
   "mw",
   sizeof(Mw__UseReport),
-  7,
+  6,
   mw__use_report__field_descriptors,
   mw__use_report__field_indices_by_name,
-  1,  mw__use_report__number_ranges,
+  2,  mw__use_report__number_ranges,
   (ProtobufCMessageInit) mw__use_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -7868,18 +7747,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "repeats",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mw__UseTotals, n_repeats),
-    offsetof(Mw__UseTotals, repeats),
-    &mw__repeat_row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "hosts",
     3,
@@ -7904,16 +7771,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "partial",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseTotals, partial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_totals__field_indices_by_name[] = {
-  2,   /* field[2] = hosts */
-  3,   /* field[3] = queues */
-  1,   /* field[1] = repeats */
+  1,   /* field[1] = hosts */
+  3,   /* field[3] = partial */
+  2,   /* field[2] = queues */
   0,   /* field[0] = rows */
 };
-static const ProtobufCIntRange mw__use_totals__number_ranges[1 + 1] =
+static const ProtobufCIntRange mw__use_totals__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor mw__use_totals__descriptor =
@@ -7927,7 +7807,7 @@
   4,
   mw__use_totals__field_descriptors,
   mw__use_totals__field_indices_by_name,
-  1,  mw__use_totals__number_ranges,
+  2,  mw__use_totals__number_ranges,
   (ProtobufCMessageInit) mw__use_totals__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -62,7 +62,6 @@
 typedef struct Mw__EndpointRows Mw__EndpointRows;
 typedef struct Mw__UseRow Mw__UseRow;
 typedef struct Mw__QueueRow Mw__QueueRow;
-typedef struct Mw__RepeatRow Mw__RepeatRow;
 typedef struct Mw__UseReport Mw__UseReport;
 typedef struct Mw__UseTotals Mw__UseTotals;
 typedef struct Mw__Demand Mw__Demand;
@@ -1103,21 +1102,6 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
-/*
- * Requests for a service and repeats sent to it since the host started.
- */
-struct  Mw__RepeatRow
-{
-  ProtobufCMessage base;
-  char *service;
-  uint64_t requests;
-  uint64_t repeats;
-};
-#define MW__REPEAT_ROW__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mw__repeat_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
-
-
 /*
  * Work of one entry host; a report replaces the one before.
  */
@@ -1129,8 +1113,6 @@
   uint64_t seq;
   size_t n_rows;
   Mw__UseRow **rows;
-  size_t n_repeats;
-  Mw__RepeatRow **repeats;
   /*
    * of a control process: what endpoints say
    */
@@ -1140,7 +1122,7 @@
 };
 #define MW__USE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1151,18 +1133,20 @@
   ProtobufCMessage base;
   size_t n_rows;
   Mw__UseRow **rows;
-  size_t n_repeats;
-  Mw__RepeatRow **repeats;
   /*
    * entry hosts heard of, the receiver included
    */
   uint32_t hosts;
   size_t n_queues;
   Mw__QueueRow **queues;
+  /*
+   * rows not listed are as they were
+   */
+  protobuf_c_boolean partial;
 };
 #define MW__USE_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_totals__descriptor) \
-    , 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Mw__Demand
@@ -2562,25 +2546,6 @@
 void   mw__queue_row__free_unpacked
                      (Mw__QueueRow *message,
                       ProtobufCAllocator *allocator);
-/* Mw__RepeatRow methods */
-void   mw__repeat_row__init
-                     (Mw__RepeatRow         *message);
-size_t mw__repeat_row__get_packed_size
-                     (const Mw__RepeatRow   *message);
-size_t mw__repeat_row__pack
-                     (const Mw__RepeatRow   *message,
-                      uint8_t             *out);
-size_t mw__repeat_row__pack_to_buffer
-                     (const Mw__RepeatRow   *message,
-                      ProtobufCBuffer     *buffer);
-Mw__RepeatRow *
-       mw__repeat_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   mw__repeat_row__free_unpacked
-                     (Mw__RepeatRow *message,
-                      ProtobufCAllocator *allocator);
 /* Mw__UseReport methods */
 void   mw__use_report__init
                      (Mw__UseReport         *message);
@@ -3104,9 +3069,6 @@
 typedef void (*Mw__QueueRow_Closure)
                  (const Mw__QueueRow *message,
                   void *closure_data);
-typedef void (*Mw__RepeatRow_Closure)
-                 (const Mw__RepeatRow *message,
-                  void *closure_data);
 typedef void (*Mw__UseReport_Closure)
                  (const Mw__UseReport *message,
                   void *closure_data);
@@ -3220,7 +3182,6 @@
 extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__queue_row__descriptor;
-extern const ProtobufCMessageDescriptor mw__repeat_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_report__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_totals__descriptor;
 extern const ProtobufCMessageDescriptor mw__demand__descriptor;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -1,7 +1,6 @@
 #include "check_main.h"
 
 #include "base/err.h"
-#include "control/use.h"
 #include "forward/plan.h"
 
 /* Guards against the wrong route where prefixes contain each other. */
@@ -60,49 +59,10 @@
 }
 END_TEST
 
-static void report(struct use *u, const char *host, uint64_t seq,
-		   uint32_t streams, bool direct, int64_t now)
-{
-	Mw__UseReport r = MW__USE_REPORT__INIT;
-	Mw__UseRow row = MW__USE_ROW__INIT, *rows[] = {&row};
-
-	row.endpoint = (char *)"e";
-	row.streams = streams;
-	r.host = (char *)host;
-	r.incarnation = 1;
-	r.seq = seq;
-	r.rows = rows;
-	r.n_rows = 1;
-	use_take(u, &r, direct, now);
-}
-
-/* Guards against work that is counted twice, late, or for hosts that died. */
-START_TEST(test_use)
-{
-	struct use *u = use_new();
-
-	report(u, "h1", 1, 3, true, 0);
-	report(u, "h2", 5, 4, false, 0);
-	report(u, "h2", 4, 9, false, 0); /* late */
-	Mw__UseTotals *t = use_totals(u, "h1", 0);
-	ck_assert_uint_eq(t->hosts, 2);
-	ck_assert_uint_eq(t->n_rows, 1);
-	ck_assert_uint_eq(t->rows[0]->streams, 4);
-	use_totals_free(t);
-	ck_assert(use_reports_here(u, "h1", 0));
-	ck_assert(!use_reports_here(u, "h2", 0));
-	use_drop(u, "h2");
-	t = use_totals(u, "h1", USE_VALID_US + 1);
-	ck_assert_uint_eq(t->n_rows, 0);
-	use_totals_free(t);
-	use_free(u);
-}
-END_TEST
-
 int main(void)
 {
 	const TTest *const tests[] = {test_longest_prefix, test_keys,
-				      test_weights, test_use};
+				      test_weights};
 
 	return check_main("plan", tests, sizeof(tests) / sizeof(*tests));
 }
--- /dev/null
+++ b/tests/test_use.c
@@ -0,0 +1,240 @@
+#include "check_main.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+#include "control/use.h"
+#include "policy/tell.h"
+
+#define MS INT64_C(1000)
+
+/* A report with one row for each character of `endpoints`. */
+static void report(struct use *u, const char *host, uint64_t seq,
+		   const char *endpoints, uint32_t streams, bool direct,
+		   int64_t now)
+{
+	Mw__UseReport r = MW__USE_REPORT__INIT;
+	Mw__UseRow rows[8], *list[8];
+	char names[8][2] = {0};
+
+	r.host = (char *)host;
+	r.incarnation = 1;
+	r.seq = seq;
+	r.rows = list;
+	for (r.n_rows = 0; endpoints[r.n_rows]; r.n_rows++) {
+		Mw__UseRow *row = &rows[r.n_rows];
+		mw__use_row__init(row);
+		names[r.n_rows][0] = endpoints[r.n_rows];
+		row->endpoint = names[r.n_rows];
+		row->streams = streams;
+		list[r.n_rows] = row;
+	}
+	use_take(u, &r, direct, now);
+}
+
+/* Streams of the endpoint in the sums, or -1 if they do not tell of it. */
+static int streams_of(const Mw__UseTotals *t, const char *endpoint)
+{
+	for (size_t i = 0; i < t->n_rows; i++)
+		if (!strcmp(t->rows[i]->endpoint, endpoint))
+			return (int)t->rows[i]->streams;
+	return -1;
+}
+
+/* Guards against work that is counted twice, late, or for hosts that died. */
+START_TEST(test_sums)
+{
+	struct use *u = use_new();
+
+	report(u, "h1", 1, "e", 3, true, 0);
+	report(u, "h2", 5, "e", 4, false, 0);
+	report(u, "h2", 4, "e", 9, false, 0); /* late */
+	use_sum(u, 0);
+	Mw__UseTotals *t = use_totals(u, "h1", 0);
+	ck_assert_uint_eq(t->hosts, 2);
+	ck_assert_uint_eq(t->n_rows, 1);
+	ck_assert_uint_eq(t->rows[0]->streams, 4);
+	use_totals_free(t);
+	ck_assert(use_reports_here(u, "h1", 0));
+	ck_assert(!use_reports_here(u, "h2", 0));
+	use_drop(u, "h2");
+	ck_assert(use_is_new(u));
+	use_sum(u, USE_VALID_US - 1);
+	t = use_totals(u, "h1", USE_VALID_US - 1);
+	ck_assert_uint_eq(t->hosts, 1);
+	ck_assert_int_le(streams_of(t, "e"), 0);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
+/*
+ * Guards against a change that a host is not told of: its own work grew by as
+ * much as that of another host fell, so that the sum is the same.
+ */
+START_TEST(test_change_behind_own)
+{
+	struct use *u = use_new();
+
+	report(u, "h1", 1, "e", 3, true, 1);
+	report(u, "h2", 1, "e", 4, true, 1);
+	use_sum(u, 1);
+	use_totals_free(use_totals(u, "h1", 1));
+	report(u, "h1", 2, "e", 4, true, 2);
+	report(u, "h2", 2, "e", 3, true, 2);
+	use_sum(u, 2);
+	Mw__UseTotals *t = use_totals(u, "h1", 2);
+	ck_assert(t->partial);
+	ck_assert_int_eq(streams_of(t, "e"), 3);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
+/* Guards against sums that are all told again with each change. */
+START_TEST(test_only_changes)
+{
+	struct use *u = use_new();
+
+	report(u, "h1", 1, "a", 1, true, 1);
+	report(u, "h2", 1, "abcd", 2, true, 1);
+	use_sum(u, 1);
+	Mw__UseTotals *t = use_totals(u, "h1", 1);
+	ck_assert(!t->partial);
+	ck_assert_uint_eq(t->n_rows, 4);
+	use_totals_free(t);
+	report(u, "h2", 2, "abc", 2, true, 2);
+	use_sum(u, 2);
+	t = use_totals(u, "h1", 2);
+	ck_assert(t->partial);
+	ck_assert_uint_eq(t->n_rows, 1);
+	ck_assert_int_eq(streams_of(t, "d"), 0);
+	use_totals_free(t);
+	use_sum(u, 3);
+	t = use_totals(u, "h1", 3);
+	ck_assert_uint_eq(t->n_rows, 0);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
+/*
+ * Guards against a host that goes on with old sums after it was cut off, or
+ * reported elsewhere, and missed what was told meanwhile.
+ */
+START_TEST(test_whole_after_gap)
+{
+	struct use *u = use_new();
+
+	for (int way = 0; way < 3; way++) {
+		uint64_t seq = 10 * (uint64_t)way + 1;
+		int64_t now = 3 * USE_VALID_US * way + 1;
+		report(u, "h1", seq, "a", 1, true, now);
+		use_sum(u, now);
+		use_totals_free(use_totals(u, "h1", now));
+		if (way == 0)
+			use_drop(u, "h1");
+		else if (way == 1)
+			report(u, "h1", seq + 1, "a", 1, false, now);
+		else
+			use_sum(u, now += USE_VALID_US + 1);
+		use_sum(u, now);
+		report(u, "h1", seq + 2, "a", 1, true, now);
+		use_sum(u, now);
+		Mw__UseTotals *t = use_totals(u, "h1", now);
+		ck_assert_msg(!t->partial, "way %d", way);
+		use_totals_free(t);
+	}
+	use_free(u);
+}
+END_TEST
+
+#define HOSTS 5
+#define ROUNDS 4000
+
+/*
+ * Guards against sums that drift apart from the reports: a host that only
+ * follows what it is told knows the work of the others at each moment.
+ */
+START_TEST(test_follow)
+{
+	GRand *rand = g_rand_new_with_seed(11);
+	struct use *u = use_new();
+	uint32_t work[HOSTS][4] = {0}, told[4] = {0};
+	const char *const names[HOSTS] = {"h0", "h1", "h2", "h3", "h4"};
+	uint64_t seq = 0;
+
+	for (int64_t now = 1; now <= ROUNDS * MS; now += MS) {
+		int h = g_rand_int_range(rand, 0, HOSTS);
+		Mw__UseReport r = MW__USE_REPORT__INIT;
+		Mw__UseRow rows[4],
+			*list[4] = {rows, rows + 1, rows + 2, rows + 3};
+		char ids[4][2] = {"a", "b", "c", "d"};
+
+		r.host = (char *)names[h];
+		r.seq = ++seq;
+		r.rows = list;
+		for (int e = 0; e < 4; e++) {
+			if (g_rand_boolean(rand))
+				work[h][e] =
+					(uint32_t)g_rand_int_range(rand, 0, 3);
+			if (!work[h][e])
+				continue;
+			Mw__UseRow *row = list[r.n_rows++];
+			mw__use_row__init(row);
+			row->endpoint = ids[e];
+			row->streams = work[h][e];
+		}
+		use_take(u, &r, true, now);
+		for (int k = 0; k < HOSTS; k++) /* all are alive */
+			if (k != h && !(seq % 500)) {
+				r.host = (char *)names[k];
+				r.n_rows = 0;
+				memset(work[k], 0, sizeof(work[k]));
+				r.seq = ++seq;
+				use_take(u, &r, true, now);
+			}
+		if (g_rand_boolean(rand))
+			continue;
+		use_sum(u, now);
+		Mw__UseTotals *t = use_totals(u, "h0", now);
+		for (int e = 0; e < 4; e++) {
+			int n = streams_of(t, ids[e]);
+			uint32_t others = 0;
+
+			told[e] = n >= 0       ? (uint32_t)n
+				  : t->partial ? told[e]
+					       : 0;
+			for (int k = 1; k < HOSTS; k++)
+				others += work[k][e];
+			ck_assert_uint_eq(told[e], others);
+		}
+		use_totals_free(t);
+	}
+	use_free(u);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Guards against messages that grow with the square of the hosts. */
+START_TEST(test_tell)
+{
+	ck_assert_int_eq(tell_report_us(82, 3), 10 * MS);
+	ck_assert_int_eq(tell_report_us(400, 3), 48 * MS);
+	ck_assert_int_eq(tell_report_us(5000, 3), 100 * MS);
+	ck_assert_int_eq(tell_report_us(82, 400), 100 * MS);
+	ck_assert_int_eq(tell_sums_us(14), 10 * MS);
+	ck_assert_int_eq(tell_sums_us(57), 34200);
+	ck_assert_int_eq(tell_sums_us(1000), 100 * MS);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_sums,	 test_change_behind_own,
+				      test_only_changes, test_whole_after_gap,
+				      test_follow,	 test_tell};
+
+	return check_main("use", tests, sizeof(tests) / sizeof(*tests));
+}
