--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -40,6 +40,7 @@
 
 static void order(struct request *r);
 static void copy(struct request *r, int64_t now);
+static void free_copy(struct request *r, const char *handle);
 
 static void log_move(struct request *r, const char *outcome, int64_t now)
 {
@@ -135,8 +136,15 @@
 
 void move_refused(struct request *r, int64_t now)
 {
+	g_autofree char *handle = g_strdup(r->move.handle);
+	char target[sizeof(r->move.target.endpoint)];
+
 	log_move(r, "refused", now);
+	g_strlcpy(target, r->move.target.endpoint, sizeof(target));
 	copy(r, now);
+	/* The same target gets only what is new. */
+	if (strcmp(r->move.target.endpoint, target) != 0)
+		free_copy(r, handle);
 }
 
 /* ---- copying ---- */
@@ -304,14 +312,14 @@
 static const struct fetch_ops free_ops = {.done = on_freed};
 
 /* A copy on order that nothing uses takes memory until it expires. */
-static void free_copy(struct request *r)
+static void free_copy(struct request *r, const char *handle)
 {
 	struct fwd *f = r->fwd;
-	const char *handle = strrchr(r->move.handle, '/');
+	const char *name = strrchr(handle, '/');
 
-	if (!handle)
+	if (!name)
 		return;
-	g_autofree char *path = f->iface->free_copy(handle + 1);
+	g_autofree char *path = f->iface->free_copy(name + 1);
 	g_autofree char *url =
 		g_strdup_printf("http://%s%s", r->move.source_addr, path);
 	struct fetch_spec spec = {.method = "DELETE",
@@ -329,7 +337,7 @@
 	if (r->move.next)
 		fetch_cancel(r->move.next);
 	if (r->move.state != MOVE_NONE)
-		free_copy(r);
+		free_copy(r, r->move.handle);
 	request_drop_copy(r, &r->move.target);
 	buf_release(&r->move.reply);
 }
