--- a/src/forward/follow.c
+++ b/src/forward/follow.c
@@ -1,7 +1,6 @@
 #include "forward/fwd.h"
 
 #include <string.h>
-#include <jansson.h>
 #include <zlib.h>
 
 #include "base/cleanup.h"
--- a/src/forward/reading.c
+++ b/src/forward/reading.c
@@ -1,7 +1,5 @@
 #include "forward/fwd.h"
 
-#include <jansson.h>
-
 #include "base/clock.h"
 #include "base/err.h"
 #include "obs/slog.h"
