forward: Name the prompt parts in log lines of failed requests

Which requests ended in a crash could be read from the log, but not what they had in common. Lines of requests that failed or were refused now have the ids of their prompt parts; these are hashes, no text of a prompt.

--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -57,6 +57,18 @@
 static const char *const state_names[] = {"waiting", "sent", "stream",
 					  "paused"};
 
+/* Logs the ids of the prompt's parts, to find what failed requests share. */
+static void log_prompt_parts(struct slog *l, const struct request *r)
+{
+	g_autoptr(GString) ids = g_string_new(NULL);
+
+	for (size_t i = 0; i < r->ask.n_parts; i++)
+		g_string_append_printf(ids, "%s%" G_GINT64_MODIFIER "x",
+				       i ? "," : "", r->ask.parts[i].id);
+	if (ids->len)
+		slog_str(l, "parts", ids->str);
+}
+
 void request_log(struct request *r, const char *kind, const char *outcome,
 		 int64_t now)
 {
@@ -83,6 +95,8 @@
 		slog_int(&l, "pause_us", r->longest_gap_us);
 		slog_int(&l, "pause_ended_us", now - r->longest_gap_end_us);
 	}
+	if (!succeeded)
+		log_prompt_parts(&l, r);
 	slog_end(&l);
 }
 
@@ -222,6 +236,7 @@
 	slog_str(&l, "endpoint",
 		 *r->endpoint_id ? r->endpoint_id : r->previous_endpoint_id);
 	slog_int(&l, "waiting", (int64_t)f->n_waiting);
+	log_prompt_parts(&l, r);
 	slog_end(&l);
 	counter_add(C_REFUSED, err_info(err)->kind, 1);
 	f->iface->reply_error(r->http, err, r->may_have_run, after,
