forward: Refuse requests by the prompt part that crashes endpoints

Callers saw their streams end one after the other: requests with one common prompt part, of which no two are alike, crashed up to 39 endpoints in 22 s, each with the streams of other callers.

Hosts that forward judged a broken attempt by its endpoint alone. The product's own entry hosts count the deaths of endpoints against the requests that ran there (src/entry/crash_marks.c), but nothing in src/forward used these marks, control processes sent them only with leases, and they name a whole request, which never comes twice here. Class of fault: a protection that one kind of host has and another has not.

Ruled out: the caller and the other parts, which occur in requests that are served, and late learning, as no host learned anything.

A host whose attempt ends before the answer has begun connects to the endpoint once more. If that is refused, the parts of the request but the last, and the request as a whole, become suspects: sent to all hosts by way of the control processes, and proposed to the replicated log, whose marks each host gets when it connects and after each change. An answer clears a part. policy/blame.c decides: two crashes at different times, the part with most crashes first, parts that always occurred together blamed only together, so that sound requests with the others test and clear them. Attempts of blamed requests that are not answered yet are ended.

Why it works. A part that crashes each endpoint is never served, so it is never cleared; any other part is, at once if it is common. Hosts that were frozen, cut off, new or restarted get the same marks from the log.

Test. platform/tests/tainted.sh failed before (all five servers end, every host answers 503) and passes: two servers end, also after all processes were killed. test_blame for the decision.

--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -24,6 +24,12 @@
 
 #define EXPIRE_INTERVAL_US (1 * USEC_PER_SEC)
 
+/* Crash marks that are sent to entry hosts, the newest ones: some 50 KB. */
+#define CRASH_MARKS_SENT_MAX 512
+
+/* Changes of the crash marks within this time are sent together. */
+#define CRASH_MARKS_INTERVAL_US (20 * USEC_PER_MSEC)
+
 struct ctl_feed {
 	struct ctl *ctl;
 	struct registry *registry;
@@ -32,6 +38,8 @@
 	int64_t last_totals_us;
 	unsigned int totals_receivers; /* hosts that got the last totals */
 	int64_t last_expire_us;
+	uint64_t crash_version; /* of the crash marks that were sent last */
+	int64_t crash_sent_us;
 };
 
 struct ctl_feed *ctl_feed_new(struct ctl *c)
@@ -105,12 +113,55 @@
 	peer_send(p, &frame);
 }
 
+/* ---- crash marks ---- */
+
+static void add_mark(const Mw__SnapCrash *mark, void *arg)
+{
+	g_ptr_array_add(arg, (void *)mark);
+}
+
+static void send_crash_marks(struct ctl_feed *f, struct peer *p)
+{
+	const struct crash_marks *crash = sm_crash_marks(f->ctl->sm);
+	g_autoptr(GPtrArray) marks = g_ptr_array_new();
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__CrashMarks msg = MW__CRASH_MARKS__INIT;
+
+	crash_for_each(crash, add_mark, marks);
+	size_t left_out = marks->len > CRASH_MARKS_SENT_MAX
+				  ? marks->len - CRASH_MARKS_SENT_MAX
+				  : 0;
+	msg.version = crash_version(crash);
+	msg.marks = (Mw__SnapCrash **)marks->pdata + left_out;
+	msg.n_marks = marks->len - left_out;
+	frame.body_case = MW__FRAME__BODY_CRASH_MARKS;
+	frame.crash_marks = &msg;
+	peer_send(p, &frame);
+}
+
+/* Sends the marks if they have changed, also by a snapshot of the log. */
+static void send_changed_crash_marks(struct ctl_feed *f, int64_t now)
+{
+	uint64_t version = crash_version(sm_crash_marks(f->ctl->sm));
+
+	if (version == f->crash_version ||
+	    now - f->crash_sent_us < CRASH_MARKS_INTERVAL_US)
+		return;
+	f->crash_version = version;
+	f->crash_sent_us = now;
+	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
+		if (is_entry_host(p))
+			send_crash_marks(f, p);
+}
+
 void ctl_feed_peer_up(struct ctl_feed *f, struct peer *p)
 {
 	g_autoptr(GPtrArray) rows = g_ptr_array_new();
 
-	if (is_entry_host(p))
+	if (is_entry_host(p)) {
 		send_version(f, p);
+		send_crash_marks(f, p);
+	}
 	registry_for_each(f->registry, add_row, rows);
 	send_rows(p, (Mw__EndpointInfo **)rows->pdata, rows->len);
 }
@@ -313,6 +364,7 @@
 
 void ctl_feed_flush(struct ctl_feed *f, int64_t now)
 {
+	send_changed_crash_marks(f, now);
 	if (use_has_changes(f->use) &&
 	    now - f->last_totals_us >=
 		    usage_totals_interval_us(f->totals_receivers))
@@ -327,6 +379,7 @@
 
 void ctl_feed_tick(struct ctl_feed *f, int64_t now)
 {
+	send_changed_crash_marks(f, now);
 	if (now - f->last_totals_us >= TOTALS_MAX_INTERVAL_US)
 		send_totals(f, now);
 	if (now - f->last_expire_us >= EXPIRE_INTERVAL_US) {
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -6,10 +6,10 @@
 
 /*
  * Updates that a control process sends to the entry hosts connected to it (role
- * "entry", without a lease): new versions of the tree, endpoints, and the load
- * that the other entry hosts put on each endpoint.  An endpoint announces
- * itself to any one control process, which forwards each announcement to the
- * other control processes and only changes to the entry hosts.
+ * "entry", without a lease): new versions of the tree, endpoints, crash marks,
+ * and the load that the other entry hosts put on each endpoint.  An endpoint
+ * announces itself to any one control process, which forwards each announcement
+ * to the other control processes and only changes to the entry hosts.
  */
 struct ctl_feed;
 
@@ -19,8 +19,9 @@
 void ctl_feed_peer_up(struct ctl_feed *f, struct peer *p);
 void ctl_feed_peer_down(struct ctl_feed *f, struct peer *p);
 /*
- * Sends changed totals of the load to entry hosts, at most once per
- * usage_totals_interval_us().  Call it in each iteration of the event loop.
+ * Sends changed crash marks and totals of the load to entry hosts, the totals
+ * at most once per usage_totals_interval_us().  Call it in each iteration of
+ * the event loop.
  */
 void ctl_feed_flush(struct ctl_feed *f, int64_t now);
 void ctl_feed_tick(struct ctl_feed *f, int64_t now);
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -1,4 +1,4 @@
-#include "forward/fwd.h"
+#include "forward/crashes.h"
 
 #include <string.h>
 #include <zlib.h>
@@ -132,9 +132,9 @@
 	f->document_requests++;
 }
 
-/* Alternates between the control processes, so that after a request to a frozen
- * one the next request goes to another. */
-static struct peer *next_control_peer(struct fwd *f)
+/* Alternates between the control processes with `turn`, so that after a request
+ * to a frozen one the next request goes to another. */
+static struct peer *next_control_peer(struct fwd *f, unsigned int turn)
 {
 	unsigned int n = 0, k;
 
@@ -143,7 +143,7 @@
 		n += is_control(p);
 	if (!n)
 		return NULL;
-	k = f->document_requests % n;
+	k = turn % n;
 	for (struct peer *p = peer_next(f->peers, NULL); p;
 	     p = peer_next(f->peers, p))
 		if (is_control(p) && !k--)
@@ -160,6 +160,35 @@
 		request_document(f, p);
 }
 
+/* ---- crash marks ---- */
+
+int control_link_propose(struct fwd *f, Mw__Command *cmd, int timeout_ms,
+			 void (*done)(int err, const Mw__Frame *reply,
+				      void *ctx),
+			 void *ctx)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__Propose propose = MW__PROPOSE__INIT;
+	struct peer *p = next_control_peer(f, f->proposals++);
+
+	propose.command = cmd;
+	frame.body_case = MW__FRAME__BODY_PROPOSE;
+	frame.propose = &propose;
+	return p ? peer_call(p, &frame, timeout_ms, done, ctx) : -MW_ENOLEADER;
+}
+
+void control_link_send_crash_mark(struct fwd *f, Mw__CrashMark *mark)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+
+	frame.body_case = MW__FRAME__BODY_CRASH_MARK;
+	frame.crash_mark = mark;
+	for (struct peer *p = peer_next(f->peers, NULL); p;
+	     p = peer_next(f->peers, p))
+		if (is_control(p))
+			peer_send(p, &frame);
+}
+
 /* ---- peers ---- */
 
 static void on_frame(struct peer *p, const Mw__Frame *frame, void *ctx)
@@ -183,6 +212,12 @@
 		f->totals_received_us = now;
 		endpoints_apply_totals(f, frame->use_totals, now);
 		break;
+	case MW__FRAME__BODY_CRASH_MARK:
+		crashes_handle_mark(f, frame->crash_mark, now);
+		break;
+	case MW__FRAME__BODY_CRASH_MARKS:
+		crashes_handle_log(f, frame->crash_marks, now);
+		break;
 	default:
 		log_debug("follow", "unexpected frame %d from %s",
 			  (int)frame->body_case, peer_hello(p)->host);
@@ -331,7 +366,7 @@
 {
 	control_link_flush(f, now);
 	if (may_request_document(f)) {
-		struct peer *p = next_control_peer(f);
+		struct peer *p = next_control_peer(f, f->document_requests);
 		if (p)
 			request_document(f, p);
 	}
--- /dev/null
+++ b/src/forward/crashes.h
@@ -0,0 +1,47 @@
+#ifndef FORWARD_CRASHES_H
+#define FORWARD_CRASHES_H
+
+#include "forward/request.h"
+
+/*
+ * Requests that crash endpoints (policy/blame.h decides which) on a host that
+ * forwards.
+ *
+ * When an attempt ends without an answer, the host connects to the endpoint
+ * once more.  If the connection is refused, the endpoint has crashed, and the
+ * request's traits are its suspects.  The host sends them to all connected
+ * control processes, which forward them to all hosts, and proposes them to the
+ * replicated log until they are committed.  A host that connects to a control
+ * process gets the marks of the log, so that hosts that were frozen, cut off or
+ * not started yet also learn them.
+ */
+
+/* Uncommitted reports and clears; the oldest is dropped first. */
+#define CRASHES_PENDING_MAX 256
+
+/* Events after which an endpoint has survived the beginning of an answer. */
+#define CRASHES_SERVED_EVENTS 2
+
+void crashes_start(struct fwd *f);
+void crashes_stop(struct fwd *f);
+
+/* The attempt was broken off; call it while the endpoint is still attached. */
+void crashes_attempt_broken(struct request *r, int64_t now);
+/* The endpoint has answered, or is well beyond the first event of a stream. */
+void crashes_request_served(struct request *r, int64_t now);
+
+/* Number of crashes for which the request is to be refused, 0: none. */
+unsigned int crashes_blamed(struct request *r);
+
+/* Suspects of a crash that another host has seen. */
+void crashes_handle_mark(struct fwd *f, const Mw__CrashMark *mark, int64_t now);
+/* Marks of the log; an older version than the last one is ignored. */
+void crashes_handle_log(struct fwd *f, const Mw__CrashMarks *msg, int64_t now);
+
+/*
+ * Ends attempts whose requests are now blamed and are not answered yet, and
+ * proposes what is due.
+ */
+void crashes_tick(struct fwd *f, int64_t now);
+
+#endif
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -6,7 +6,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
-#include "forward/request.h"
+#include "forward/crashes.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
 
@@ -105,6 +105,7 @@
 	control_link_tick(f, now);
 	request_tick(f, now);
 	endpoints_tick(f, now);
+	crashes_tick(f, now);
 	if (f->draining)
 		drain_tick(f, now);
 }
@@ -191,6 +192,7 @@
 	f->est = est_new(NULL);
 	f->fetcher = fetcher_new(loop, IDLE_CONNS_MAX);
 	endpoints_start(f);
+	crashes_start(f);
 	plan_parse_init(f);
 	int r = control_link_start(f);
 	if (r == 0)
@@ -230,8 +232,9 @@
 		httpd_free(f->admin_httpd);
 	list_for_each_entry_safe (r, tmp, &f->requests, node)
 		request_free(r);
-	fetcher_free(f->fetcher);
 	control_link_stop(f);
+	crashes_stop(f);
+	fetcher_free(f->fetcher);
 	plan_parse_stop(f);
 	endpoints_stop(f);
 	plan_unref(f->plan);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -34,12 +34,14 @@
  *   choose.c        choice of an endpoint for a request or a KV copy
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
+ *   crashes.c       requests that crash endpoints
  *
  * The host holds no lease: it serves the newest plan that it has received, also
  * while it is cut off from the control processes.
  */
 
 struct fwd;
+struct crashes;
 
 /* State of an endpoint on this host; its announcement is in the registry. */
 struct fwd_endpoint {
@@ -105,6 +107,7 @@
 	uint64_t latest_tree_version; /* highest version announced */
 	bool document_requested;      /* a request for it is open */
 	unsigned int document_requests; /* sent since the start */
+	unsigned int proposals;		/* sent since the start */
 	struct plan *plan;		/* in force; NULL before the first */
 	struct plan_parse parse;
 	uint64_t use_seq; /* of the last usage report */
@@ -129,6 +132,8 @@
 	size_t n_requests;
 	size_t n_waiting;
 
+	struct crashes *crashes; /* crashes.c */
+
 	ev_timer tick;
 	ev_prepare flush;
 	ev_signal sigterm, sigint, sighup;
@@ -160,6 +165,18 @@
  */
 void control_link_flush(struct fwd *f, int64_t now);
 
+/*
+ * Proposes a command to the replicated log through some control process.
+ * Returns 0, or a negative error if none is connected; then `done` is not
+ * called.
+ */
+int control_link_propose(struct fwd *f, Mw__Command *cmd, int timeout_ms,
+			 void (*done)(int err, const Mw__Frame *reply,
+				      void *ctx),
+			 void *ctx);
+/* Sends a crash mark to all connected control processes. */
+void control_link_send_crash_mark(struct fwd *f, Mw__CrashMark *mark);
+
 /* ---- plan_parse.c ---- */
 void plan_parse_init(struct fwd *f);
 /*
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -1,4 +1,4 @@
-#include "forward/request.h"
+#include "forward/crashes.h"
 
 #include <string.h>
 
@@ -195,10 +195,28 @@
 	return true;
 }
 
+/* Refuses and frees a request that has crashed endpoints. */
+static bool refuse_if_blamed(struct request *r, int64_t now)
+{
+	unsigned int crashes = crashes_blamed(r);
+
+	if (!crashes)
+		return false;
+	struct slog l = slog_begin("blamed");
+	slog_str(&l, "request", r->ask.id);
+	slog_int(&l, "crashes", crashes);
+	slog_end(&l);
+	request_refuse(r, -MW_EPOISON, "crashes endpoints", now);
+	return true;
+}
+
 void request_place(struct request *r, int64_t now)
 {
 	bool any_usable;
 
+	if (refuse_if_blamed(r, now))
+		return;
+
 	if (r->deadline_us - now < REQUEST_LEFT_MIN_US) {
 		request_refuse(r, -MW_EDEADLINE, "no time left", now);
 		return;
@@ -220,7 +238,8 @@
 	bool any_usable;
 
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
-		try_place(r, now, &any_usable);
+		if (!refuse_if_blamed(r, now))
+			try_place(r, now, &any_usable);
 }
 
 void request_tick(struct fwd *f, int64_t now)
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -1,4 +1,4 @@
-#include "forward/request.h"
+#include "forward/crashes.h"
 
 #include <string.h>
 
@@ -124,6 +124,8 @@
 			record_event_gap(r, now);
 		r->events++;
 		r->last_event_us = now;
+		if (r->events == CRASHES_SERVED_EVENTS)
+			crashes_request_served(r, now);
 		if (r->events % FORECAST_INTERVAL_EVENTS == 0)
 			request_update_need(r, now);
 	}
@@ -154,6 +156,7 @@
 		est_observe(r->fwd->est, "", r->route->name,
 			    (uint32_t)(r->events * tokens_per_event), now);
 	request_log(r, "answered", "ok", now);
+	crashes_request_served(r, now);
 	counter_add(C_FORWARDED, "ok", 1);
 	httpd_stream_end(r->http);
 	request_free(r);
@@ -184,6 +187,7 @@
 		return;
 	if (ep && ep->incarnation == r->incarnation)
 		endpoints_record_failure(r->fwd, ep, now);
+	crashes_attempt_broken(r, now);
 	relay_abort(r, why, now);
 }
 
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -1,4 +1,4 @@
-#include "forward/request.h"
+#include "forward/crashes.h"
 
 #include <assert.h>
 #include <string.h>
@@ -328,6 +328,7 @@
 	g_ptr_array_add(h, NULL);
 	request_log(r, "answered", r->status < 500 ? "ok" : "endpoint_error",
 		    now);
+	crashes_request_served(r, now);
 	httpd_reply(r->http, r->status, (const char *const *)h->pdata,
 		    buf_head(&r->body), buf_unread(&r->body));
 	g_ptr_array_unref(h);
@@ -377,6 +378,8 @@
 	if (ep && res->err != FETCH_OK && ep->incarnation == r->incarnation &&
 	    res->err != FETCH_TIMEOUT)
 		endpoints_record_failure(r->fwd, ep, now);
+	if (delivered && res->err == FETCH_BROKEN)
+		crashes_attempt_broken(r, now);
 	r->may_have_run |= may_have_run;
 	if (may_repeat(r, may_have_run, delivered, now)) {
 		repeat_request(
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -78,6 +78,9 @@
 	"Forwarded requests that were sent to another endpoint.")
 COUNTER(MOVES, "mustardwall_moves_total", "steps", "outcome",
 	"Steps of moving generations to other endpoints, by outcome.")
+COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
+	"outcome",
+	"Connections to endpoints that broke off an attempt, by outcome.")
 GAUGE(LOG_DROPPED, "mustardwall_log_lines_dropped", "lines", NULL,
       "Lines of the structured log that were left out since the start.")
 GAUGE(OPEN_REQUESTS, "mustardwall_open_requests", "requests", NULL,
--- a/src/state/crash.c
+++ b/src/state/crash.c
@@ -98,7 +98,7 @@
 
 /* Adds a death unless it is counted already; returns whether it was added. */
 static bool add_death(Mw__SnapCrash *mark, const char *endpoint,
-		      uint64_t incarnation)
+		      uint64_t incarnation, uint64_t now_ms)
 {
 	Mw__SnapDeath death = MW__SNAP_DEATH__INIT;
 	void *deaths;
@@ -117,6 +117,7 @@
 	mark->deaths = deaths;
 	death.endpoint = (char *)endpoint;
 	death.incarnation = incarnation;
+	death.at_ms = now_ms;
 	mark->deaths[mark->n_deaths++] = pb_copy(&death.base);
 	return true;
 }
@@ -157,7 +158,7 @@
 			r = rec_add(c, &new_mark);
 		}
 		if (!add_death(r->mark, mark->endpoint,
-			       mark->endpoint_incarnation))
+			       mark->endpoint_incarnation, now_ms))
 			continue;
 		r->mark->marked_ms = now_ms;
 		list_del(&r->link);
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -1987,6 +1987,51 @@
   assert(message->base.descriptor == &mw__tree_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__crash_marks__init
+                     (Mw__CrashMarks         *message)
+{
+  static const Mw__CrashMarks init_value = MW__CRASH_MARKS__INIT;
+  *message = init_value;
+}
+size_t mw__crash_marks__get_packed_size
+                     (const Mw__CrashMarks *message)
+{
+  assert(message->base.descriptor == &mw__crash_marks__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__crash_marks__pack
+                     (const Mw__CrashMarks *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__crash_marks__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__crash_marks__pack_to_buffer
+                     (const Mw__CrashMarks *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__crash_marks__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__CrashMarks *
+       mw__crash_marks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__CrashMarks *)
+     protobuf_c_message_unpack (&mw__crash_marks__descriptor,
+                                allocator, len, data);
+}
+void   mw__crash_marks__free_unpacked
+                     (Mw__CrashMarks *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__crash_marks__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__endpoint_rows__init
                      (Mw__EndpointRows         *message)
 {
@@ -6371,7 +6416,7 @@
   (ProtobufCMessageInit) mw__snap_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__snap_death__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mw__snap_death__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -6397,15 +6442,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "at_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__SnapDeath, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__snap_death__field_indices_by_name[] = {
+  2,   /* field[2] = at_ms */
   0,   /* field[0] = endpoint */
   1,   /* field[1] = incarnation */
 };
 static const ProtobufCIntRange mw__snap_death__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mw__snap_death__descriptor =
 {
@@ -6415,7 +6473,7 @@
   "Mw__SnapDeath",
   "mw",
   sizeof(Mw__SnapDeath),
-  2,
+  3,
   mw__snap_death__field_descriptors,
   mw__snap_death__field_indices_by_name,
   1,  mw__snap_death__number_ranges,
@@ -7411,6 +7469,57 @@
   (ProtobufCMessageInit) mw__tree_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mw__crash_marks__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__CrashMarks, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "marks",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__CrashMarks, n_marks),
+    offsetof(Mw__CrashMarks, marks),
+    &mw__snap_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__crash_marks__field_indices_by_name[] = {
+  1,   /* field[1] = marks */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange mw__crash_marks__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mw__crash_marks__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.CrashMarks",
+  "CrashMarks",
+  "Mw__CrashMarks",
+  "mw",
+  sizeof(Mw__CrashMarks),
+  2,
+  mw__crash_marks__field_descriptors,
+  mw__crash_marks__field_indices_by_name,
+  1,  mw__crash_marks__number_ranges,
+  (ProtobufCMessageInit) mw__crash_marks__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mw__endpoint_rows__field_descriptors[1] =
 {
   {
@@ -9575,7 +9684,7 @@
   (ProtobufCMessageInit) mw__admin_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__frame__field_descriptors[37] =
+static const ProtobufCFieldDescriptor mw__frame__field_descriptors[38] =
 {
   {
     "seq",
@@ -10021,6 +10130,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_marks",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Frame, body_case),
+    offsetof(Mw__Frame, crash_marks),
+    &mw__crash_marks__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__frame__field_indices_by_name[] = {
   20,   /* field[20] = ack */
@@ -10032,6 +10153,7 @@
   27,   /* field[27] = bootstrap_state */
   21,   /* field[21] = cache_events */
   24,   /* field[24] = crash_mark */
+  37,   /* field[37] = crash_marks */
   35,   /* field[35] = document_get */
   36,   /* field[36] = document_text */
   25,   /* field[25] = endpoint_get */
@@ -10065,7 +10187,7 @@
 {
   { 1, 0 },
   { 10, 5 },
-  { 0, 37 }
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor mw__frame__descriptor =
 {
@@ -10075,7 +10197,7 @@
   "Mw__Frame",
   "mw",
   sizeof(Mw__Frame),
-  37,
+  38,
   mw__frame__field_descriptors,
   mw__frame__field_indices_by_name,
   2,  mw__frame__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -59,6 +59,7 @@
 typedef struct Mw__BootstrapState Mw__BootstrapState;
 typedef struct Mw__Roster Mw__Roster;
 typedef struct Mw__TreeNews Mw__TreeNews;
+typedef struct Mw__CrashMarks Mw__CrashMarks;
 typedef struct Mw__EndpointRows Mw__EndpointRows;
 typedef struct Mw__UseRow Mw__UseRow;
 typedef struct Mw__QueueRow Mw__QueueRow;
@@ -794,10 +795,14 @@
   ProtobufCMessage base;
   char *endpoint;
   uint64_t incarnation;
+  /*
+   * when it was recorded, 0: by an older version
+   */
+  uint64_t at_ms;
 };
 #define MW__SNAP_DEATH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__snap_death__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mw__SnapCrash
@@ -1036,6 +1041,25 @@
     , 0 }
 
 
+/*
+ * Crash marks in the log, for entry hosts without a lease; all of them, or the
+ * newest ones.
+ */
+struct  Mw__CrashMarks
+{
+  ProtobufCMessage base;
+  /*
+   * increases with each change of the marks
+   */
+  uint64_t version;
+  size_t n_marks;
+  Mw__SnapCrash **marks;
+};
+#define MW__CRASH_MARKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__crash_marks__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * Rows of the endpoint registry; a newer row replaces the one of the same id.
  */
@@ -1597,7 +1621,8 @@
   MW__FRAME__BODY_USE_REPORT = 38,
   MW__FRAME__BODY_USE_TOTALS = 39,
   MW__FRAME__BODY_DOCUMENT_GET = 40,
-  MW__FRAME__BODY_DOCUMENT_TEXT = 41
+  MW__FRAME__BODY_DOCUMENT_TEXT = 41,
+  MW__FRAME__BODY_CRASH_MARKS = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__FRAME__BODY__CASE)
 } Mw__Frame__BodyCase;
 
@@ -1655,6 +1680,7 @@
     Mw__UseTotals *use_totals;
     Mw__DocumentGet *document_get;
     Mw__DocumentText *document_text;
+    Mw__CrashMarks *crash_marks;
   };
 };
 #define MW__FRAME__INIT \
@@ -2498,6 +2524,25 @@
 void   mw__tree_news__free_unpacked
                      (Mw__TreeNews *message,
                       ProtobufCAllocator *allocator);
+/* Mw__CrashMarks methods */
+void   mw__crash_marks__init
+                     (Mw__CrashMarks         *message);
+size_t mw__crash_marks__get_packed_size
+                     (const Mw__CrashMarks   *message);
+size_t mw__crash_marks__pack
+                     (const Mw__CrashMarks   *message,
+                      uint8_t             *out);
+size_t mw__crash_marks__pack_to_buffer
+                     (const Mw__CrashMarks   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__CrashMarks *
+       mw__crash_marks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__crash_marks__free_unpacked
+                     (Mw__CrashMarks *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__EndpointRows methods */
 void   mw__endpoint_rows__init
                      (Mw__EndpointRows         *message);
@@ -3069,6 +3114,9 @@
 typedef void (*Mw__TreeNews_Closure)
                  (const Mw__TreeNews *message,
                   void *closure_data);
+typedef void (*Mw__CrashMarks_Closure)
+                 (const Mw__CrashMarks *message,
+                  void *closure_data);
 typedef void (*Mw__EndpointRows_Closure)
                  (const Mw__EndpointRows *message,
                   void *closure_data);
@@ -3188,6 +3236,7 @@
 extern const ProtobufCMessageDescriptor mw__bootstrap_state__descriptor;
 extern const ProtobufCMessageDescriptor mw__roster__descriptor;
 extern const ProtobufCMessageDescriptor mw__tree_news__descriptor;
+extern const ProtobufCMessageDescriptor mw__crash_marks__descriptor;
 extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__queue_row__descriptor;
