registry, forward: Stop sending to an endpoint whose address has another owner

Callers got 503 while places were free: hosts went on sending requests to ids of endpoints that had crashed and started again at the same address under another id, and got 421 from each.

Cause. registry_merge() marked the former owner of the address as left, but endpoints_update() looked only at the row that was announced, so the host's record of the former owner kept serving for 60 s; a 421 counted neither as a failure nor as word that the incarnation has ended. Attempts there end at once, so it has the least work and draws most requests.

Evidence. 404 of 736 arrivals got 421; the logs have the new id with the same address at once, and no later announcement of the old one.

The registry reports each changed row to a watcher, including that of an endpoint that lost its address; src/forward follows it and has no other source. After a 421 an incarnation gets no more requests from this host. Attempts that still wait for a replaced incarnation are ended.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -51,7 +51,8 @@
 			continue;
 		c.endpoints[c.n] = ep;
 		c.targets[c.n++] = (struct place_target){
-			.usable = ep->serving && now >= ep->avoid_until_us &&
+			.usable = ep->serving && !ep->is_gone &&
+				  now >= ep->avoid_until_us &&
 				  !health_is_unhealthy(&ep->health, now),
 			.excluded = !strcmp(ep->id, except_id),
 			.distance = distance(near_dc, ep),
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -29,9 +29,12 @@
 	g_free(ep);
 }
 
+static void on_row_changed(const struct registry_row *row, void *arg);
+
 void endpoints_start(struct fwd *f)
 {
 	f->registry = registry_new();
+	registry_watch(f->registry, on_row_changed, f);
 	f->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     endpoint_free);
 	f->services =
@@ -62,7 +65,7 @@
 	ep->health = (struct health){0};
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
-	ep->serving = false;
+	ep->serving = ep->is_gone = false;
 }
 
 static const char *served_service(const Mw__EndpointInfo *info)
@@ -70,15 +73,12 @@
 	return info->n_models ? info->models[0] : "";
 }
 
-void endpoints_update(struct fwd *f, const Mw__EndpointInfo *info, int64_t now)
+static void on_row_changed(const struct registry_row *row, void *arg)
 {
-	if (registry_merge(f->registry, info, now) == REGISTRY_IGNORED)
-		return;
-	const struct registry_row *row = registry_find(f->registry, info->id);
+	struct fwd *f = arg;
+	const Mw__EndpointInfo *info = row->info;
 	struct fwd_endpoint *ep = endpoints_find(f, info->id);
 
-	if (!row)
-		return;
 	if (!ep) {
 		ep = g_new0(struct fwd_endpoint, 1);
 		g_strlcpy(ep->id, info->id, sizeof(ep->id));
@@ -93,6 +93,7 @@
 	g_strlcpy(ep->service, served_service(info), sizeof(ep->service));
 	ep->slots = info->max_batch;
 	ep->has_left = row->left;
+	ep->is_replaced = row->replaced;
 	bool serving = !row->left && !strcmp(info->state, REGISTRY_SERVING);
 	if (serving == ep->serving)
 		return;
@@ -103,13 +104,36 @@
 	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
 	slog_int(&l, "seq", (int64_t)info->seq);
 	slog_str(&l, "addr", ep->addr);
-	slog_str(&l, "state", info->state);
+	slog_str(&l, "state", row->replaced ? "replaced" : info->state);
+	slog_int(&l, "open_here", ep->open_here);
+	slog_end(&l);
+	if (starts_leaving && !row->replaced)
+		ep->move_due_us = clock_mono_us() + MOVE_DELAY_US;
+	else if (serving)
+		f->place_waiting = true;
+}
+
+void endpoints_update(struct fwd *f, const Mw__EndpointInfo *info, int64_t now)
+{
+	registry_merge(f->registry, info, now);
+	if (!f->place_waiting)
+		return;
+	f->place_waiting = false;
+	request_place_waiting(f, now);
+}
+
+void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep)
+{
+	(void)f;
+	if (ep->is_gone)
+		return;
+	ep->is_gone = true;
+	struct slog l = slog_begin("endpoint_gone");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_str(&l, "addr", ep->addr);
 	slog_int(&l, "open_here", ep->open_here);
 	slog_end(&l);
-	if (starts_leaving)
-		ep->move_due_us = now + MOVE_DELAY_US;
-	else
-		request_place_waiting(f, now);
 }
 
 /* Returns whether other hosts have less work there than before. */
@@ -279,6 +303,10 @@
 		if (ep->move_due_us && now >= ep->move_due_us)
 			move_endpoint_generations(f, ep, now);
 	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (ep->is_replaced && ep->open_here)
+			request_end_attempts(ep, "endpoint replaced", now);
+	g_hash_table_iter_init(&iter, f->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		if (!ep->open_here && !registry_find(f->registry, ep->id))
 			g_hash_table_iter_remove(&iter);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -52,7 +52,9 @@
 	uint64_t incarnation;
 	unsigned int slots; /* requests that it runs at the same time */
 	bool serving;
-	bool has_left; /* another endpoint may have the address by now */
+	bool has_left;	  /* another endpoint may have the address by now */
+	bool is_replaced; /* another endpoint has announced the address */
+	bool is_gone;	  /* another endpoint answers at the address */
 	/* Work that this host placed there. */
 	struct list requests; /* struct request, by endpoint_node */
 	unsigned int open_here;
@@ -124,6 +126,7 @@
 	struct registry *registry;
 	GHashTable *endpoints; /* id to struct fwd_endpoint */
 	GHashTable *services;  /* name to struct service_state */
+	bool place_waiting;    /* an endpoint began to serve */
 
 	/* request.c */
 	struct output_estimator *est; /* forecast of output tokens, by route */
@@ -209,6 +212,9 @@
 /* Records an attempt that was not delivered or whose answer broke off. */
 void endpoints_record_failure(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
+/* Records that an answer came from another incarnation: this one gets no more
+ * requests, whatever is announced for it. */
+void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep);
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
@@ -228,6 +234,9 @@
  * are expected to need; urgent ones are not counted.
  */
 uint64_t request_queued_tokens(struct fwd *f, const char *service);
+/* Ends all attempts at an endpoint as broken off. */
+void request_end_attempts(struct fwd_endpoint *ep, const char *why,
+			  int64_t now);
 /* Tries to place the requests that wait. */
 void request_place_waiting(struct fwd *f, int64_t now);
 
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -380,6 +380,8 @@
 		endpoints_record_failure(r->fwd, ep, now);
 	if (delivered && res->err == FETCH_BROKEN)
 		crashes_attempt_broken(r, now);
+	if (ep && r->answer.wrong_endpoint && ep->incarnation == r->incarnation)
+		endpoints_mark_gone(r->fwd, ep);
 	r->may_have_run |= may_have_run;
 	if (may_repeat(r, may_have_run, delivered, now)) {
 		repeat_request(
@@ -433,6 +435,27 @@
 		attempt_failed(r, res, now);
 }
 
+void request_end_attempts(struct fwd_endpoint *ep, const char *why, int64_t now)
+{
+	const struct fetch_result res = {
+		.err = FETCH_BROKEN, .sent = 1, .error_text = why};
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &ep->requests) {
+		struct request *r =
+			list_entry(pos, struct request, endpoint_node);
+
+		if (!r->fetch || r->incarnation != ep->incarnation)
+			continue;
+		fetch_cancel(r->fetch);
+		r->fetch = NULL;
+		if (r->state == REQUEST_STREAM)
+			relay_endpoint_done(r, false, why, now);
+		else
+			attempt_failed(r, &res, now);
+	}
+}
+
 static const struct fetch_ops attempt_ops = {
 	.headers = on_headers,
 	.data = on_data,
--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -4,6 +4,8 @@
 
 struct registry {
 	GHashTable *rows; /* id to struct registry_row */
+	void (*watch)(const struct registry_row *row, void *arg);
+	void *watch_arg;
 };
 
 static Mw__EndpointInfo *copy_info(const Mw__EndpointInfo *info)
@@ -40,6 +42,20 @@
 	g_free(r);
 }
 
+void registry_watch(struct registry *r,
+		    void (*fn)(const struct registry_row *row, void *arg),
+		    void *arg)
+{
+	r->watch = fn;
+	r->watch_arg = arg;
+}
+
+static void notify(struct registry *r, const struct registry_row *row)
+{
+	if (r->watch)
+		r->watch(row, r->watch_arg);
+}
+
 static bool is_newer(const Mw__EndpointInfo *a, const Mw__EndpointInfo *b)
 {
 	if (a->incarnation != b->incarnation)
@@ -88,11 +104,14 @@
 	struct registry_row *row;
 
 	g_hash_table_iter_init(&iter, r->rows);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
-		if (strcmp(row->info->id, info->id) != 0 &&
-		    !strcmp(row->info->addr, info->addr) &&
-		    row->info->incarnation < info->incarnation)
-			row->left = true;
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row)) {
+		if (row->replaced || !strcmp(row->info->id, info->id) ||
+		    strcmp(row->info->addr, info->addr) != 0 ||
+		    row->info->incarnation >= info->incarnation)
+			continue;
+		row->left = row->replaced = true;
+		notify(r, row);
+	}
 }
 
 static void set_state(Mw__EndpointInfo *info, const char *state)
@@ -125,6 +144,8 @@
 	row->left = info->leave_deadline_ms == REGISTRY_LEFT_DEADLINE_MS;
 	g_hash_table_insert(r->rows, row->info->id, row);
 	mark_previous_owners_left(r, row->info);
+	if (!same)
+		notify(r, row);
 	return same ? REGISTRY_REFRESHED : REGISTRY_CHANGED;
 }
 
@@ -141,6 +162,7 @@
 	set_state(row->info, REGISTRY_LEAVING);
 	row->left = true;
 	row->received_us = now;
+	notify(r, row);
 	return row;
 }
 
@@ -184,6 +206,7 @@
 		set_state(row->info, REGISTRY_STALE);
 		row->info->seq++;
 		row->received_us = now;
+		notify(r, row);
 		stale(row, arg);
 	}
 }
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -37,6 +37,7 @@
 	Mw__EndpointInfo *info;
 	int64_t received_us; /* last announcement or change of state */
 	bool left;	     /* this incarnation has left or lost its address */
+	bool replaced;	     /* a later incarnation announced its address */
 };
 
 struct registry;
@@ -44,6 +45,14 @@
 struct registry *registry_new(void);
 void registry_free(struct registry *r);
 
+/*
+ * Calls fn after each change of a row, including that of an endpoint whose
+ * address another one has taken over.  fn must not change the registry.
+ */
+void registry_watch(struct registry *r,
+		    void (*fn)(const struct registry_row *row, void *arg),
+		    void *arg);
+
 /* Merges a row that was received; copies info. */
 enum registry_change registry_merge(struct registry *r,
 				    const Mw__EndpointInfo *info, int64_t now);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -99,6 +99,28 @@
 	g_string_append(arg, row->info->id);
 }
 
+/* Guards against users of the registry that go on with an endpoint after
+ * another one has taken over its address. */
+START_TEST(test_watch_sees_replaced_owner)
+{
+	struct registry *r = registry_new();
+	g_autoptr(GString) seen = g_string_new(NULL);
+
+	merge(r, "old", 5, 3, "h:1", "serving");
+	registry_watch(r, append_id, seen);
+	merge(r, "new", 6, 1, "h:1", "serving");
+	ck_assert_str_eq(seen->str, "oldnew");
+	ck_assert(registry_find(r, "old")->replaced);
+	merge(r, "new", 6, 2, "h:1", "serving");
+	merge(r, "old", 5, 4, "h:1", "serving");
+	ck_assert_str_eq(seen->str, "oldnew");
+	registry_mark_left(r, "new", 0);
+	ck_assert_str_eq(seen->str, "oldnewnew");
+	ck_assert(!registry_find(r, "new")->replaced);
+	registry_free(r);
+}
+END_TEST
+
 /*
  * Guards against a serving endpoint that expires in a process that receives
  * only changes, and against a row that stays after its endpoint has left.
@@ -128,6 +150,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {test_order, test_leave, test_address,
+				      test_watch_sees_replaced_owner,
 				      test_expiry};
 
 	return check_main("registry", tests, sizeof(tests) / sizeof(*tests));
