forward: Decode and log the limits that endpoints name

Endpoints in need name the requests a second that they take. Hosts passed the header on and did not read it, so the logs could not tell whether they lack the limit or do not act on it. It is now decoded with the answer and logged when it changes; nothing is decided by it yet.

--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -21,6 +21,8 @@
 /* Number of entry hosts that is assumed until the first totals arrive. */
 #define HOSTS_ASSUMED 8
 
+#define NO_LIMIT (-1.0)
+
 static void endpoint_free(void *p)
 {
 	struct fwd_endpoint *ep = p;
@@ -66,6 +68,7 @@
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
+	ep->limit_per_s = NO_LIMIT;
 }
 
 static const char *served_service(const Mw__EndpointInfo *info)
@@ -266,6 +269,23 @@
 	slog_end(&l);
 }
 
+void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
+			   const struct answer *answer)
+{
+	double limit = answer->has_limit ? answer->limit_per_s : NO_LIMIT;
+
+	(void)f;
+	if (limit == ep->limit_per_s)
+		return;
+	ep->limit_per_s = limit;
+	struct slog l = slog_begin("endpoint_limit");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_int(&l, "limited", answer->has_limit);
+	slog_int(&l, "milli_per_s", (int64_t)(answer->limit_per_s * 1000));
+	slog_end(&l);
+}
+
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now)
 {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -67,6 +67,8 @@
 	uint64_t used_tokens;	   /* memory in use */
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
+	/* Requests a second that it takes from all hosts, below 0: no limit. */
+	double limit_per_s;
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
 	unsigned int consecutive_failures;
@@ -215,6 +217,9 @@
 /* Records that an answer came from another incarnation: this one gets no more
  * requests, whatever is announced for it. */
 void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep);
+/* Applies what an answer says of the requests that the endpoint takes. */
+void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
+			   const struct answer *answer);
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -279,6 +279,17 @@
 
 /* ---- attempt ---- */
 
+/* Only genuine answers of the endpoint itself count. */
+static void apply_limit(struct request *r, const char *endpoint_id,
+			uint64_t incarnation, const struct answer *answer)
+{
+	struct fwd_endpoint *ep = endpoints_find(r->fwd, endpoint_id);
+
+	if (ep && ep->incarnation == incarnation && answer->has_seal &&
+	    !answer->wrong_endpoint && !answer->wrong_request)
+		endpoints_apply_limit(r->fwd, ep, answer);
+}
+
 static void on_headers(void *arg, struct fetch *fetch, int status)
 {
 	struct request *r = arg;
@@ -287,12 +298,15 @@
 	if (fetch == r->move.target_fetch) {
 		struct answer a =
 			r->fwd->iface->decode_answer(fetch, status, &r->ask);
+		apply_limit(r, r->move.target.endpoint_id,
+			    r->move.target.incarnation, &a);
 		move_target_answered(r, status, a.has_seal && !a.wrong_request,
 				     now);
 		return;
 	}
 	r->status = status;
 	r->answer = r->fwd->iface->decode_answer(fetch, status, &r->ask);
+	apply_limit(r, r->endpoint_id, r->incarnation, &r->answer);
 	if (r->answer.wrong_request || !r->answer.has_seal || status != 200 ||
 	    r->route->kind != PLAN_STREAM)
 		return;
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -72,7 +72,9 @@
 	bool not_run;	     /* the endpoint guarantees that nothing ran */
 	bool wrong_endpoint; /* another endpoint uses the address */
 	bool wrong_request;  /* the response is for another request */
-	bool has_seal; /* has the endpoint's marker of a genuine response */
+	bool has_seal;	/* has the endpoint's marker of a genuine response */
+	bool has_limit; /* the endpoint limits the requests that it takes */
+	double limit_per_s; /* requests a second, from all hosts together */
 };
 
 /* Orders an endpoint to copy a generation's KV cache to another one. */
