forward: Share the limits that endpoints name among all hosts

Hosts did not act on the limit, and none can by itself: on the grown sites 70 to 82 hosts share limits of a few requests a second, and hosts got an answer that names the limit up to 14 s after one another. Class of fault: a fact that one host learns, and a bound on the sum of all hosts, kept by each host alone.

The log lines endpoint_limit show when each host learned the limit, the lines placed that each went on as before. Ruled out: hosts that share the limit too late, as there was nothing that shared it.

Usage reports carry the endpoint's latest statement, with its age, and the requests sent to it in the last 2 s; totals carry the latest statement of all hosts and the sum of the others. forward/rate.c gives each host the part of the limit that its callers have in the requests for the service, and no request while all together have sent what the endpoint takes. Such an endpoint has no room, so requests go to others, wait for as long as a full one makes them wait, or are refused with a time to retry.

Why it works. The sum of the parts is the limit, whatever the number of hosts; the sum of what was sent bounds what parts that change, or a lag of the totals, let through. New hosts and those that were cut off get the statement with their first totals. A host without recent totals uses the part of one host among all.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -83,7 +83,9 @@
 	return a->streams == b->streams && a->tokens == b->tokens &&
 	       a->prefill == b->prefill && a->used == b->used &&
 	       a->waiting == b->waiting && a->failed == b->failed &&
-	       a->worked == b->worked;
+	       a->worked == b->worked && a->sent == b->sent &&
+	       a->limit_state == b->limit_state &&
+	       a->limit_milli == b->limit_milli;
 }
 
 static const Mw__UseRow *find_row(const Mw__UseReport *r, const char *endpoint)
@@ -167,6 +169,20 @@
 	return u->has_changes;
 }
 
+/* The latest statement of the endpoint counts. */
+static void add_limit(Mw__UseRow *sum, const Mw__UseRow *row,
+		      uint64_t report_age_ms)
+{
+	uint64_t age_ms = row->limit_age_ms + report_age_ms;
+
+	if (!row->limit_state ||
+	    (sum->limit_state && sum->limit_age_ms <= age_ms))
+		return;
+	sum->limit_state = row->limit_state;
+	sum->limit_milli = row->limit_milli;
+	sum->limit_age_ms = age_ms;
+}
+
 static void add_row(Mw__UseRow *sum, const Mw__UseRow *row)
 {
 	sum->streams += row->streams;
@@ -176,6 +192,7 @@
 	sum->waiting += row->waiting;
 	sum->failed += row->failed;
 	sum->worked += row->worked;
+	sum->sent += row->sent;
 }
 
 static void subtract_row(Mw__UseRow *sum, const Mw__UseRow *row)
@@ -187,6 +204,7 @@
 	sum->waiting -= row->waiting;
 	sum->failed -= row->failed;
 	sum->worked -= row->worked;
+	sum->sent -= row->sent;
 }
 
 /*
@@ -234,7 +252,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&h)) {
 		for (size_t i = 0; h->in_sums && i < h->report->n_rows; i++) {
 			const Mw__UseRow *row = h->report->rows[i];
-			add_row(&get_sum(u, row->endpoint)->row, row);
+			Mw__UseRow *sum = &get_sum(u, row->endpoint)->row;
+			add_row(sum, row);
+			add_limit(sum, row,
+				  (uint64_t)(now - h->last_report_us) / 1000);
 		}
 	}
 }
@@ -247,12 +268,14 @@
 		if (strcmp(t->queues[i]->service, row->service) != 0)
 			continue;
 		t->queues[i]->tokens += row->tokens;
+		t->queues[i]->arrivals += row->arrivals;
 		return;
 	}
 	sum = g_new0(Mw__QueueRow, 1);
 	mw__queue_row__init(sum);
 	sum->service = row->service;
 	sum->tokens = row->tokens;
+	sum->arrivals = row->arrivals;
 	t->queues = g_renew(Mw__QueueRow *, t->queues, t->n_queues + 1);
 	t->queues[t->n_queues++] = sum;
 }
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -55,6 +55,7 @@
 				  now >= ep->avoid_until_us &&
 				  !health_is_unhealthy(&ep->health, now),
 			.excluded = !strcmp(ep->id, except_id),
+			.rate_limited = !endpoints_has_rate_room(f, ep, now),
 			.distance = distance(near_dc, ep),
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -18,11 +18,18 @@
 #define AVOID_MIN_US (250 * USEC_PER_MSEC)
 #define AVOID_MAX_US (4 * USEC_PER_SEC)
 
+/* Totals arrive every 0.1 s; older ones say nothing about present rates. */
+#define TOTALS_VALID_US (1 * USEC_PER_SEC)
+
+/* limit_state of a usage row */
+#define LIMIT_STATED 1
+#define LIMIT_LIFTED 2
+
+#define MILLI 1000
+
 /* Number of entry hosts that is assumed until the first totals arrive. */
 #define HOSTS_ASSUMED 8
 
-#define NO_LIMIT (-1.0)
-
 static void endpoint_free(void *p)
 {
 	struct fwd_endpoint *ep = p;
@@ -68,7 +75,7 @@
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
-	ep->limit_per_s = NO_LIMIT;
+	ep->rate = (struct rate){0};
 }
 
 static const char *served_service(const Mw__EndpointInfo *info)
@@ -139,8 +146,12 @@
 	slog_end(&l);
 }
 
+static void state_limit(struct fwd *f, struct fwd_endpoint *ep, bool limited,
+			double per_s, int64_t stated_us, const char *from);
+
 /* Returns whether other hosts have less work there than before. */
-static bool apply_use_row(struct fwd_endpoint *ep, const Mw__UseRow *row)
+static bool apply_use_row(struct fwd *f, struct fwd_endpoint *ep,
+			  const Mw__UseRow *row, int64_t now)
 {
 	bool load_decreased = row->streams < ep->open_elsewhere ||
 			      row->tokens < ep->needed_elsewhere_tokens;
@@ -152,6 +163,12 @@
 	ep->engine_queue = row->waiting;
 	ep->health.failed_elsewhere = row->failed;
 	ep->health.succeeded_elsewhere = row->worked;
+	ep->rate.sent_elsewhere = row->sent;
+	if (row->limit_state)
+		state_limit(f, ep, row->limit_state == LIMIT_STATED,
+			    (double)row->limit_milli / MILLI,
+			    now - (int64_t)row->limit_age_ms * USEC_PER_MSEC,
+			    "hosts");
 	return load_decreased;
 }
 
@@ -177,27 +194,53 @@
 	while (!totals->partial &&
 	       g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		if (!find_row(totals, ep->id))
-			load_decreased |= apply_use_row(ep, &none);
+			load_decreased |= apply_use_row(f, ep, &none, now);
 	for (size_t i = 0; i < totals->n_rows; i++) {
 		ep = endpoints_find(f, totals->rows[i]->endpoint);
 		if (ep)
-			load_decreased |= apply_use_row(ep, totals->rows[i]);
+			load_decreased |=
+				apply_use_row(f, ep, totals->rows[i], now);
 	}
 	g_hash_table_iter_init(&iter, f->services);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s)) {
 		s->queued_elsewhere_tokens = 0;
-	for (size_t i = 0; i < totals->n_queues; i++)
-		endpoints_service_state(f, totals->queues[i]->service)
-			->queued_elsewhere_tokens = totals->queues[i]->tokens;
+		s->arrivals_elsewhere = 0;
+	}
+	for (size_t i = 0; i < totals->n_queues; i++) {
+		s = endpoints_service_state(f, totals->queues[i]->service);
+		s->queued_elsewhere_tokens = totals->queues[i]->tokens;
+		s->arrivals_elsewhere = totals->queues[i]->arrivals;
+	}
 	if (load_decreased)
 		request_place_waiting(f, now);
 }
 
+static void report_limit(const struct rate *rate, Mw__UseRow *row, int64_t now)
+{
+	row->sent = rate_window_count(&rate->sent, now);
+	row->limit_state = rate->limited ? LIMIT_STATED : LIMIT_LIFTED;
+	row->limit_milli = (uint64_t)(rate->per_s * MILLI);
+	row->limit_age_ms = (uint64_t)(now - rate->stated_us) / USEC_PER_MSEC;
+}
+
+static bool service_has_limit(struct fwd *f, const char *service)
+{
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+
+	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (ep->rate.limited && !strcmp(ep->service, service))
+			return true;
+	return false;
+}
+
 Mw__UseReport *endpoints_use_report(struct fwd *f, int64_t now)
 {
 	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
 	GHashTableIter iter;
 	struct fwd_endpoint *ep;
+	struct service_state *s;
 	void *name;
 
 	mw__use_report__init(r);
@@ -210,8 +253,9 @@
 		unsigned int failed = health_recent_failures(&ep->health, now);
 		unsigned int succeeded =
 			health_recent_successes(&ep->health, now);
+		bool limit = rate_is_reported(&ep->rate, now);
 		if (!ep->open_here && !ep->needed_here_tokens && !failed &&
-		    !succeeded)
+		    !succeeded && !limit)
 			continue;
 		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
 		mw__use_row__init(row);
@@ -221,18 +265,25 @@
 		row->prefill = ep->prefill_here_tokens;
 		row->failed = failed;
 		row->worked = succeeded;
+		if (limit)
+			report_limit(&ep->rate, row, now);
 		r->rows[r->n_rows++] = row;
 	}
 	r->queues = g_new0(Mw__QueueRow *, g_hash_table_size(f->services) + 1);
 	g_hash_table_iter_init(&iter, f->services);
-	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+	while (g_hash_table_iter_next(&iter, &name, (void **)&s)) {
 		uint64_t tokens = request_queued_tokens(f, name);
-		if (!tokens)
+		unsigned int arrivals =
+			service_has_limit(f, name)
+				? rate_window_count(&s->arrivals, now)
+				: 0;
+		if (!tokens && !arrivals)
 			continue;
 		Mw__QueueRow *row = g_new0(Mw__QueueRow, 1);
 		mw__queue_row__init(row);
 		row->service = name;
 		row->tokens = tokens;
+		row->arrivals = arrivals;
 		r->queues[r->n_queues++] = row;
 	}
 	return r;
@@ -269,23 +320,45 @@
 	slog_end(&l);
 }
 
-void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
-			   const struct answer *answer)
+static void state_limit(struct fwd *f, struct fwd_endpoint *ep, bool limited,
+			double per_s, int64_t stated_us, const char *from)
 {
-	double limit = answer->has_limit ? answer->limit_per_s : NO_LIMIT;
-
-	(void)f;
-	if (limit == ep->limit_per_s)
+	if (!rate_state(&ep->rate, limited, per_s, stated_us,
+			g_rand_double(f->rand)))
 		return;
-	ep->limit_per_s = limit;
+	f->use_unreported = true;
 	struct slog l = slog_begin("endpoint_limit");
 	slog_str(&l, "endpoint", ep->id);
 	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
-	slog_int(&l, "limited", answer->has_limit);
-	slog_int(&l, "milli_per_s", (int64_t)(answer->limit_per_s * 1000));
+	slog_str(&l, "from", from);
+	slog_int(&l, "limited", limited);
+	slog_int(&l, "milli_per_s", (int64_t)(per_s * MILLI));
+	slog_int(&l, "sent_elsewhere", ep->rate.sent_elsewhere);
 	slog_end(&l);
 }
 
+void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
+			   const struct answer *answer, int64_t now)
+{
+	/* Most endpoints never name a limit. */
+	if (answer->has_limit || ep->rate.stated)
+		state_limit(f, ep, answer->has_limit, answer->limit_per_s, now,
+			    "endpoint");
+}
+
+bool endpoints_has_rate_room(struct fwd *f, struct fwd_endpoint *ep,
+			     int64_t now)
+{
+	const struct service_state *s = endpoints_service_state(f, ep->service);
+	const struct rate_hosts hosts = {
+		.n = f->n_hosts,
+		.arrivals = rate_window_count(&s->arrivals, now),
+		.arrivals_elsewhere = s->arrivals_elsewhere,
+		.recent = now - f->totals_received_us < TOTALS_VALID_US};
+
+	return !ep->rate.limited || rate_has_room(&ep->rate, &hosts, now);
+}
+
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now)
 {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -13,6 +13,7 @@
 #include "forward/health.h"
 #include "forward/plan.h"
 #include "forward/quota.h"
+#include "forward/rate.h"
 #include "iface/iface.h"
 #include "net/fetch.h"
 #include "net/httpd.h"
@@ -67,8 +68,7 @@
 	uint64_t used_tokens;	   /* memory in use */
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
-	/* Requests a second that it takes from all hosts, below 0: no limit. */
-	double limit_per_s;
+	struct rate rate;    /* of requests, if the endpoint limits them */
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
 	unsigned int consecutive_failures;
@@ -90,6 +90,8 @@
 	struct budget budget;		  /* of repeated requests */
 	struct quota quota;		  /* of queued generations to place */
 	uint64_t queued_elsewhere_tokens; /* in the queues of other hosts */
+	struct rate_window arrivals;	  /* requests of callers */
+	unsigned int arrivals_elsewhere;  /* lately, on other hosts */
 };
 
 struct fwd {
@@ -219,7 +221,10 @@
 void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep);
 /* Applies what an answer says of the requests that the endpoint takes. */
 void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
-			   const struct answer *answer);
+			   const struct answer *answer, int64_t now);
+/* Whether the endpoint's limit leaves a request for this host. */
+bool endpoints_has_rate_room(struct fwd *f, struct fwd_endpoint *ep,
+			     int64_t now);
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -65,6 +65,8 @@
 	unsigned int slots = t->slots;
 	uint64_t memory = t->memory_tokens;
 
+	if (t->rate_limited)
+		return false;
 	if (!request->generation)
 		return true;
 	if (!request->urgent) {
@@ -98,7 +100,8 @@
 			continue;
 		s.memory_tokens += t->memory_tokens;
 		s.usable++;
-		if (t->open_requests >= slots || t->needed_tokens >= memory)
+		if (t->rate_limited || t->open_requests >= slots ||
+		    t->needed_tokens >= memory)
 			s.full++;
 		else if (t->engine_queue >= ENGINE_QUEUE_MAX)
 			s.queueing++;
@@ -176,7 +179,8 @@
 {
 	uint64_t memory = t->memory_tokens * MOVE_MEMORY_PERCENT / 100;
 
-	if (!t->usable || t->excluded || t->open_requests >= t->slots)
+	if (!t->usable || t->excluded || t->rate_limited ||
+	    t->open_requests >= t->slots)
 		return 0;
 	return memory > t->needed_tokens ? memory - t->needed_tokens : 0;
 }
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -20,9 +20,10 @@
  */
 
 struct place_target {
-	bool usable;   /* serving, and not avoided after a failure */
-	bool excluded; /* the request was there already */
-	bool reserved; /* for moves from another endpoint that leaves */
+	bool usable;	   /* serving, and not avoided after a failure */
+	bool excluded;	   /* the request was there already */
+	bool rate_limited; /* takes no further request at present */
+	bool reserved;	   /* for moves from another endpoint that leaves */
 	unsigned int
 		distance;   /* 0: same data centre, 1: same region, 2: other */
 	unsigned int slots; /* requests that it runs at the same time */
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -281,13 +281,14 @@
 
 /* Only genuine answers of the endpoint itself count. */
 static void apply_limit(struct request *r, const char *endpoint_id,
-			uint64_t incarnation, const struct answer *answer)
+			uint64_t incarnation, const struct answer *answer,
+			int64_t now)
 {
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, endpoint_id);
 
 	if (ep && ep->incarnation == incarnation && answer->has_seal &&
 	    !answer->wrong_endpoint && !answer->wrong_request)
-		endpoints_apply_limit(r->fwd, ep, answer);
+		endpoints_apply_limit(r->fwd, ep, answer, now);
 }
 
 static void on_headers(void *arg, struct fetch *fetch, int status)
@@ -299,14 +300,14 @@
 		struct answer a =
 			r->fwd->iface->decode_answer(fetch, status, &r->ask);
 		apply_limit(r, r->move.target.endpoint_id,
-			    r->move.target.incarnation, &a);
+			    r->move.target.incarnation, &a, now);
 		move_target_answered(r, status, a.has_seal && !a.wrong_request,
 				     now);
 		return;
 	}
 	r->status = status;
 	r->answer = r->fwd->iface->decode_answer(fetch, status, &r->ask);
-	apply_limit(r, r->endpoint_id, r->incarnation, &r->answer);
+	apply_limit(r, r->endpoint_id, r->incarnation, &r->answer, now);
 	if (r->answer.wrong_request || !r->answer.has_seal || status != 200 ||
 	    r->route->kind != PLAN_STREAM)
 		return;
@@ -476,8 +477,7 @@
 	.done = on_done,
 };
 
-struct fetch *request_start_attempt(struct request *r,
-				    const struct fwd_endpoint *ep,
+struct fetch *request_start_attempt(struct request *r, struct fwd_endpoint *ep,
 				    const char *resume_from, int64_t now)
 {
 	struct fwd *f = r->fwd;
@@ -518,6 +518,7 @@
 	if (resume_from)
 		slog_str(&l, "resume_from", resume_from);
 	slog_end(&l);
+	rate_record_sent(&ep->rate, now);
 	struct fetch *fetch = fetch_start(f->fetcher, &spec, &attempt_ops, r);
 	g_ptr_array_unref(h);
 	return fetch;
@@ -625,8 +626,9 @@
 	r->generation = r->service->runs_model && r->ask.prompt_tokens;
 	start_deadline_timer(r);
 	request_update_need(r, now);
-	budget_add_request(
-		&endpoints_service_state(f, r->service->name)->budget);
+	struct service_state *s = endpoints_service_state(f, r->service->name);
+	budget_add_request(&s->budget);
+	rate_window_add(&s->arrivals, now);
 	if (!ends_before_shutdown(r, now))
 		request_refuse(r, -MW_EDRAINING, "shutting down", now);
 	else
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -115,8 +115,7 @@
  * Starts the transfer of one attempt, with resume_from as in struct attempt.
  * Its callbacks get the request; fetch_cancel() ends it.
  */
-struct fetch *request_start_attempt(struct request *r,
-				    const struct fwd_endpoint *ep,
+struct fetch *request_start_attempt(struct request *r, struct fwd_endpoint *ep,
 				    const char *resume_from, int64_t now);
 
 /* Sets the request's endpoint, and adds the request to the load there. */
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -7558,7 +7558,7 @@
   (ProtobufCMessageInit) mw__endpoint_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[12] =
 {
   {
     "endpoint",
@@ -7656,11 +7656,63 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_state",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, limit_state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_milli",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, limit_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_row__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   6,   /* field[6] = failed */
+  11,   /* field[11] = limit_age_ms */
+  10,   /* field[10] = limit_milli */
+  9,   /* field[9] = limit_state */
   3,   /* field[3] = prefill */
+  8,   /* field[8] = sent */
   1,   /* field[1] = streams */
   2,   /* field[2] = tokens */
   4,   /* field[4] = used */
@@ -7670,7 +7722,7 @@
 static const ProtobufCIntRange mw__use_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mw__use_row__descriptor =
 {
@@ -7680,14 +7732,14 @@
   "Mw__UseRow",
   "mw",
   sizeof(Mw__UseRow),
-  8,
+  12,
   mw__use_row__field_descriptors,
   mw__use_row__field_indices_by_name,
   1,  mw__use_row__number_ranges,
   (ProtobufCMessageInit) mw__use_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[3] =
 {
   {
     "service",
@@ -7713,15 +7765,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrivals",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__QueueRow, arrivals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__queue_row__field_indices_by_name[] = {
+  2,   /* field[2] = arrivals */
   0,   /* field[0] = service */
   1,   /* field[1] = tokens */
 };
 static const ProtobufCIntRange mw__queue_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mw__queue_row__descriptor =
 {
@@ -7731,7 +7796,7 @@
   "Mw__QueueRow",
   "mw",
   sizeof(Mw__QueueRow),
-  2,
+  3,
   mw__queue_row__field_descriptors,
   mw__queue_row__field_indices_by_name,
   1,  mw__queue_row__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1109,10 +1109,26 @@
    * attempts of the last 2 s that were answered
    */
   uint32_t worked;
+  /*
+   * requests sent in the last 2 s, if limit_state is not 0
+   */
+  uint32_t sent;
+  /*
+   * the endpoint said: 1: it has a limit, 2: none any more
+   */
+  uint32_t limit_state;
+  /*
+   * 1/1000 requests a second that it takes from all hosts
+   */
+  uint64_t limit_milli;
+  /*
+   * time since it said so
+   */
+  uint64_t limit_age_ms;
 };
 #define MW__USE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1126,10 +1142,14 @@
    * memory that they are expected to need, in tokens
    */
   uint64_t tokens;
+  /*
+   * requests for the service in the last 2 s, if an
+   */
+  uint32_t arrivals;
 };
 #define MW__QUEUE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__queue_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -396,6 +396,25 @@
 }
 END_TEST
 
+/* Guards against requests to an endpoint that takes no more of them, and
+ * against a refusal while another one has room. */
+START_TEST(test_rate_limited)
+{
+	struct place_target t[] = {make_engine(0, 0, 0), make_engine(9, 9, 0)};
+	const struct place_request call = {0};
+	size_t i = 9;
+
+	t[0].rate_limited = true;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	ck_assert_int_eq(place_choose(t, 2, &call, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	ck_assert_int_eq(place_choose_move_target(t, 1, 10, &i), PLACE_NO_ROOM);
+	ck_assert_int_eq(place_choose(t, 1, &call, &i), PLACE_NO_ROOM);
+	ck_assert_uint_eq(place_sum_capacity(t, 1).full, 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_avoids_prefill,
@@ -410,7 +429,8 @@
 				      test_moves_need_room,
 				      test_flood_fills_memory,
 				      test_prefill_bounded,
-				      test_capacity};
+				      test_capacity,
+				      test_rate_limited};
 
 	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
 }
--- a/tests/test_use.c
+++ b/tests/test_use.c
@@ -240,12 +240,55 @@
 }
 END_TEST
 
+/* Stores a report of one row, in which the endpoint's limit was stated. */
+static void send_limit(struct use_table *u, const char *host, uint32_t state,
+		       uint64_t milli, uint64_t age_ms, int64_t now)
+{
+	Mw__UseReport r = MW__USE_REPORT__INIT;
+	Mw__UseRow row = MW__USE_ROW__INIT, *list[] = {&row};
+
+	r.host = (char *)host;
+	r.incarnation = 1;
+	r.seq = (uint64_t)now + 1;
+	r.rows = list;
+	r.n_rows = 1;
+	row.endpoint = (char *)"e";
+	row.sent = 3;
+	row.limit_state = state;
+	row.limit_milli = milli;
+	row.limit_age_ms = age_ms;
+	use_store_report(u, &r, true, now);
+}
+
+/*
+ * Guards against an old statement of an endpoint's limit that hides a newer
+ * one, and against totals in which a host's own requests count twice.
+ */
+START_TEST(test_latest_limit)
+{
+	struct use_table *u = use_new();
+
+	send_limit(u, "h1", 1, 7000, 900, 1000 * MS);
+	send_limit(u, "h2", 2, 0, 100, 1000 * MS);
+	send_limit(u, "h3", 1, 9000, 500, 1300 * MS);
+	use_update_sums(u, 1300 * MS);
+	Mw__UseTotals *t = use_totals_new(u, "h1", 1300 * MS);
+	ck_assert_uint_eq(t->n_rows, 1);
+	ck_assert_uint_eq(t->rows[0]->sent, 6);
+	ck_assert_uint_eq(t->rows[0]->limit_state, 2);
+	ck_assert_uint_eq(t->rows[0]->limit_age_ms, 400);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_sums_without_own, test_change_hidden_by_own,
 		test_partial_totals,   test_full_totals_after_gap,
-		test_random_reports,   test_message_intervals};
+		test_random_reports,   test_message_intervals,
+		test_latest_limit};
 
 	return check_main("use", tests, sizeof(tests) / sizeof(*tests));
 }
