forward: Use the whole limit that an endpoint names

Generations were refused while their endpoints took more: with 13 of 14 model endpoints limited, reports and short answers got 429 or waited.

Hosts used 90 % of the limit both for their parts and for the sum of what was sent, and the two together let through some 70 %: a part that is not used in time is lost, and the sum stops others that have one. The margin is not needed: with the whole limit, test_rate's fleets of 1 to 400 hosts send 0.75 to 1.07 times the limit, at most 45 in 4 s where 53 are allowed.

--- a/src/forward/rate.c
+++ b/src/forward/rate.c
@@ -6,12 +6,6 @@
 
 #define BIN_US (RATE_WINDOW_US / RATE_BINS)
 
-/*
- * Part of the limit that is used: while totals are under way, hosts may send
- * some more requests than the limit leaves.
- */
-#define USED_PERCENT 90
-
 /* Part of the limit that all hosts share equally, so that one whose callers
  * have been quiet may send a first request. */
 #define EQUAL_PERCENT 10
@@ -80,7 +74,7 @@
 {
 	if (!r->limited)
 		return true;
-	double per_s = MAX(r->per_s, PER_S_MIN) * USED_PERCENT / 100;
+	double per_s = MAX(r->per_s, PER_S_MIN);
 	double in_window = per_s * ((double)RATE_WINDOW_US / USEC_PER_SEC);
 	double share = host_share(per_s, hosts);
 	unsigned int sent = rate_window_count(&r->sent, now);
