blame: Count crashes that come all at once together with later ones

Cause, by reading. Eleven such requests a second crashed eight endpoints within 0.24 s. Crashes must be 0.3 s apart to count, and a mark kept only the first eight, so the part was never blamed for them; its companions, cleared by answers and marked again, were blamed for later crashes without it.

A further crash takes the place of the last one that is kept, in the log too, so the time between the first and the last crash is known. Hosts keep 32 of them. Crashes 0.15 s apart count as separate. The line blamed names the trait.

test_state_random's model has the new rule and checks as much as before. test_blame: test_many_crashes_at_once failed before.

--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -109,7 +109,7 @@
 	add_request_trait(t, r);
 }
 
-unsigned int crashes_blamed(struct request *r)
+unsigned int crashes_blamed(struct request *r, const char **trait)
 {
 	struct blame *b = r->fwd->crashes->blame;
 	struct traits t;
@@ -117,7 +117,8 @@
 	if (blame_is_empty(b))
 		return 0;
 	collect_traits(&t, r);
-	return blame_refuses(b, t.list, t.n, clock_wall_us() / USEC_PER_MSEC);
+	return blame_refuses(b, t.list, t.n, clock_wall_us() / USEC_PER_MSEC,
+			     trait);
 }
 
 /* ---- proposals ---- */
@@ -426,7 +427,7 @@
 	struct request *r, *tmp;
 
 	list_for_each_entry_safe (r, tmp, &f->requests, node) {
-		if (!awaits_answer(r) || !crashes_blamed(r))
+		if (!awaits_answer(r) || !crashes_blamed(r, NULL))
 			continue;
 		if (r->state == REQUEST_STREAM) {
 			relay_abort(r, "crashes endpoints", now);
--- a/src/forward/crashes.h
+++ b/src/forward/crashes.h
@@ -30,8 +30,9 @@
 /* The endpoint has answered, or is well beyond the first event of a stream. */
 void crashes_request_served(struct request *r, int64_t now);
 
-/* Number of crashes for which the request is to be refused, 0: none. */
-unsigned int crashes_blamed(struct request *r);
+/* Number of crashes for which the request is to be refused, 0: none; see
+ * blame_refuses(). */
+unsigned int crashes_blamed(struct request *r, const char **trait);
 
 /* Suspects of a crash that another host has seen. */
 void crashes_handle_mark(struct fwd *f, const Mw__CrashMark *mark, int64_t now);
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -198,13 +198,15 @@
 /* Refuses and frees a request that has crashed endpoints. */
 static bool refuse_if_blamed(struct request *r, int64_t now)
 {
-	unsigned int crashes = crashes_blamed(r);
+	const char *trait;
+	unsigned int crashes = crashes_blamed(r, &trait);
 
 	if (!crashes)
 		return false;
 	struct slog l = slog_begin("blamed");
 	slog_str(&l, "request", r->ask.id);
 	slog_int(&l, "crashes", crashes);
+	slog_str(&l, "trait", trait);
 	slog_end(&l);
 	request_refuse(r, -MW_EPOISON, "crashes endpoints", now);
 	return true;
--- a/src/policy/blame.c
+++ b/src/policy/blame.c
@@ -8,7 +8,8 @@
 #include "base/list.h"
 
 #define MAX_TRAITS_DEFAULT 4096
-#define CRASHES_MAX 8 /* of one trait; further ones are not recorded */
+/* Crashes of one trait; a further one takes the place of the last. */
+#define CRASHES_MAX 32
 #define GROUPS_MAX 32 /* groups of traits that are blamed */
 
 /* Traits that are remembered as sound in each half of the time. */
@@ -160,13 +161,12 @@
 	return NULL;
 }
 
-/* Returns NULL if the trait has too many crashes. */
 static struct crash *add_crash(struct blame *b, struct mark *m, uint64_t id,
 			       int64_t at_ms, int64_t now)
 {
-	if (m->n == CRASHES_MAX)
-		return NULL;
-	struct crash *c = &m->crashes[m->n++];
+	if (m->n < CRASHES_MAX)
+		m->n++;
+	struct crash *c = &m->crashes[m->n - 1];
 	*c = (struct crash){.id = id, .at_ms = at_ms, .recorded_us = now};
 	b->version++;
 	return c;
@@ -181,7 +181,10 @@
 	if (is_sound(b, trait, now))
 		return false;
 	struct mark *m = get_or_add_mark(b, trait);
-	return !find_crash(m, id) && add_crash(b, m, id, at_ms, now);
+	if (find_crash(m, id))
+		return false;
+	add_crash(b, m, id, at_ms, now);
+	return true;
 }
 
 static bool mark_is_in_log(const struct mark *m)
@@ -231,8 +234,6 @@
 
 	if (!c)
 		c = add_crash(b, m, id, at_ms, now);
-	if (!c)
-		return;
 	c->at_ms = at_ms;
 	c->in_log = c->in_snapshot = true;
 	if (is_sound(b, trait, now))
@@ -398,21 +399,25 @@
 }
 
 unsigned int blame_refuses(struct blame *b, const char *const *traits, size_t n,
-			   int64_t now_ms)
+			   int64_t now_ms, const char **trait)
 {
 	if (blame_is_empty(b))
 		return 0;
 	update_groups(b, now_ms);
 	for (guint i = 0; i < b->groups->len; i++) {
 		const struct group *g = b->groups->pdata[i];
+		const struct mark *first = g->marks->pdata[0];
 		guint have = 0;
 
 		while (have < g->marks->len &&
 		       has_trait(traits, n,
 				 ((struct mark *)g->marks->pdata[have])->trait))
 			have++;
-		if (have == g->marks->len)
-			return g->crashes;
+		if (have < g->marks->len)
+			continue;
+		if (trait)
+			*trait = first->trait;
+		return g->crashes;
 	}
 	return 0;
 }
--- a/src/policy/blame.h
+++ b/src/policy/blame.h
@@ -29,7 +29,7 @@
 #define BLAME_REQUEST_CRASHES 3
 
 /* Endpoints that crash within this time may have another cause in common. */
-#define BLAME_SEPARATE_MS 300
+#define BLAME_SEPARATE_MS 150
 
 /* A trait without a crash for this time is no longer blamed. */
 #define BLAME_VALID_MS (10 * 60 * 1000)
@@ -86,9 +86,10 @@
 
 /*
  * Whether a request with these traits is refused: returns the number of crashes
- * that it is blamed for, and 0 if it is not.
+ * that it is blamed for, and 0 if it is not.  *trait is then set to the trait
+ * with these crashes, which is valid until the next change; trait may be NULL.
  */
 unsigned int blame_refuses(struct blame *b, const char *const *traits, size_t n,
-			   int64_t now_ms);
+			   int64_t now_ms, const char **trait);
 
 #endif
--- a/src/state/crash.c
+++ b/src/state/crash.c
@@ -108,16 +108,21 @@
 		    !strcmp(mark->deaths[i]->endpoint, endpoint))
 			return false;
 	}
-	if (mark->n_deaths >= CRASH_DEATHS_MAX)
-		return false;
+	death.endpoint = (char *)endpoint;
+	death.incarnation = incarnation;
+	death.at_ms = now_ms;
+	if (mark->n_deaths >= CRASH_DEATHS_MAX) {
+		Mw__SnapDeath **last = &mark->deaths[mark->n_deaths - 1];
+
+		mw__snap_death__free_unpacked(*last, NULL);
+		*last = pb_copy(&death.base);
+		return true;
+	}
 	deaths = realloc(mark->deaths,
 			 (mark->n_deaths + 1) * sizeof(mark->deaths[0]));
 	if (!deaths)
 		g_error("out of memory");
 	mark->deaths = deaths;
-	death.endpoint = (char *)endpoint;
-	death.incarnation = incarnation;
-	death.at_ms = now_ms;
 	mark->deaths[mark->n_deaths++] = pb_copy(&death.base);
 	return true;
 }
--- a/src/state/crash.h
+++ b/src/state/crash.h
@@ -17,7 +17,7 @@
 
 #define CRASH_POISON_DEATHS 2
 #define CRASH_MARKS_MAX 4096
-#define CRASH_DEATHS_MAX 8	/* further deaths are not counted */
+#define CRASH_DEATHS_MAX 8	/* a further death replaces the last one */
 #define CRASH_SUSPECTS_MAX 4096 /* in one command */
 #define CRASH_ID_MAX 128	/* bytes of a fingerprint or an endpoint */
 
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -38,7 +38,7 @@
 
 	while (n < 3 && traits[n])
 		n++;
-	return blame_refuses(b, traits, n, now_ms);
+	return blame_refuses(b, traits, n, now_ms, NULL);
 }
 
 /* Guards against a part that goes on crashing endpoints in requests of which no
@@ -107,6 +107,21 @@
 }
 END_TEST
 
+/* Guards against a part that is never blamed as its first crashes, of which
+ * only some are kept, came all at once. */
+START_TEST(test_many_crashes_at_once)
+{
+	b = blame_new(0);
+	for (uint64_t i = 1; i <= 40; i++)
+		blame_record_crash(b, PART("bad"), "e", i, AT_MS(1) + (int)i,
+				   AT_US(1));
+	ck_assert_uint_eq(refuses(AT_MS(1), PART("bad"), NULL, NULL), 0);
+	blame_record_crash(b, PART("bad"), "e", 41, AT_MS(2), AT_US(2));
+	ck_assert_uint_gt(refuses(AT_MS(2), PART("bad"), NULL, NULL), 0);
+	blame_free(b);
+}
+END_TEST
+
 /* Guards against a part that is blamed though other hosts' requests with it are
  * served all the time. */
 START_TEST(test_served_lately)
@@ -248,6 +263,7 @@
 		test_companions_are_tested,
 		test_bystanders_are_explained,
 		test_outage_is_no_evidence,
+		test_many_crashes_at_once,
 		test_served_lately,
 		test_new_host_learns_from_log,
 		test_snapshot_replaces_logged_crashes,
--- a/tests/test_state_random.c
+++ b/tests/test_state_random.c
@@ -55,6 +55,7 @@
 	uint64_t fence[8];
 	bool death[FINGERPRINTS][ENDPOINTS][3];
 	uint64_t death_ms[FINGERPRINTS]; /* last death that was counted */
+	bool *last_death[FINGERPRINTS];	 /* in death */
 };
 
 /* Events over all seeds; each must occur, or its checks have not run. */
@@ -367,10 +368,16 @@
 		deaths += r->death[n][i / 3][i % 3];
 	if (mark) {
 		res = apply_both(r, MW__COMMAND__BODY_CRASH_MARK, &m);
-		if (!r->death[n][ep][inc] && deaths < CRASH_DEATHS_MAX) {
+		if (!r->death[n][ep][inc]) {
+			bool *last = r->last_death[n];
+
+			if (deaths == CRASH_DEATHS_MAX)
+				*last = false;
+			else
+				deaths++;
 			r->death[n][ep][inc] = true;
+			r->last_death[n] = &r->death[n][ep][inc];
 			r->death_ms[n] = r->now_ms;
-			deaths++;
 		}
 	} else {
 		clear.force = !pick(r, 4);
