crashes: Ask again when a crashing endpoint still accepts a connection

A process that ends closes its sockets one after the other. The stream was closed first; the connection that the host makes to find out was then accepted by the listening socket, reset, and taken as proof that the endpoint lives.

Lines crash_probe: outcome "not crashed", detail "Failure when receiving data from the peer", 1 ms after broken_off.

Only an answer proves that the endpoint lives, and only a refused connection that it has crashed. Anything else is asked again after 60 ms, up to five times.

--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -15,6 +15,13 @@
 #define PROBE_CONNECT_TIMEOUT_MS 300
 #define PROBE_TIMEOUT_MS 600
 
+/*
+ * A process that ends may still accept connections for a moment after it has
+ * closed others, so a connection without an answer proves nothing.
+ */
+#define PROBE_RETRY_US (60 * USEC_PER_MSEC)
+#define PROBES_MAX 5
+
 #define PROPOSE_TIMEOUT_MS 1200
 #define PROPOSE_RETRY_US (300 * USEC_PER_MSEC)
 
@@ -37,7 +44,10 @@
 struct probe {
 	struct list node; /* in crashes::probes */
 	struct fwd *fwd;
-	struct fetch *fetch;
+	struct fetch *fetch; /* NULL: waits until due_us */
+	char *url;
+	int64_t due_us;
+	unsigned int attempts;
 	char endpoint[128];
 	uint64_t incarnation;
 	GHashTable *traits; /* set of the suspects' traits */
@@ -220,6 +230,7 @@
 		fetch_cancel(p->fetch);
 	list_del(&p->node);
 	g_hash_table_destroy(p->traits);
+	g_free(p->url);
 	g_free(p);
 }
 
@@ -271,19 +282,26 @@
 	struct probe *p = arg;
 	struct fwd *f = p->fwd;
 	bool crashed = res->err == FETCH_CONNECT && res->connection_refused;
+	bool alive = res->status != 0;
 	int64_t now = clock_mono_us();
 	size_t n_suspects = 0;
 
 	(void)fetch;
 	p->fetch = NULL;
+	if (!crashed && !alive && p->attempts < PROBES_MAX) {
+		p->due_us = now + PROBE_RETRY_US;
+		return;
+	}
 	if (crashed)
 		n_suspects = report_crash(p, now);
-	counter_add(C_CRASH_PROBES, crashed ? "crashed" : "not_crashed", 1);
+	const char *outcome = crashed ? "crashed" : alive ? "alive" : "unknown";
+	counter_add(C_CRASH_PROBES, outcome, 1);
 	struct slog l = slog_begin("crash_probe");
 	slog_str(&l, "endpoint", p->endpoint);
 	slog_int(&l, "endpoint_incarnation", (int64_t)p->incarnation);
-	slog_str(&l, "outcome", crashed ? "crashed" : "not crashed");
+	slog_str(&l, "outcome", outcome);
 	slog_str(&l, "detail", res->error_text);
+	slog_int(&l, "attempts", p->attempts);
 	slog_int(&l, "traits", g_hash_table_size(p->traits));
 	slog_int(&l, "suspects", (int64_t)n_suspects);
 	slog_end(&l);
@@ -293,6 +311,28 @@
 
 static const struct fetch_ops probe_ops = {.done = on_probe_done};
 
+static void probe_connect(struct probe *p)
+{
+	struct fetch_spec spec = {.method = "GET",
+				  .url = p->url,
+				  .connect_timeout_ms =
+					  PROBE_CONNECT_TIMEOUT_MS,
+				  .timeout_ms = PROBE_TIMEOUT_MS,
+				  .flags = FETCH_NEW_CONNECTION};
+
+	p->attempts++;
+	p->fetch = fetch_start(p->fwd->fetcher, &spec, &probe_ops, p);
+}
+
+static void retry_probes(struct fwd *f, int64_t now)
+{
+	struct probe *p;
+
+	list_for_each_entry (p, &f->crashes->probes, node)
+		if (!p->fetch && now >= p->due_us)
+			probe_connect(p);
+}
+
 static struct probe *probe_find(struct fwd *f, const struct request *r)
 {
 	struct probe *p;
@@ -311,13 +351,6 @@
 	struct probe *p = g_new0(struct probe, 1);
 	const char *path = r->service->runs_model ? f->iface->report_path
 						  : r->service->health_path;
-	g_autofree char *url = g_strdup_printf("http://%s%s", ep->addr, path);
-	struct fetch_spec spec = {.method = "GET",
-				  .url = url,
-				  .connect_timeout_ms =
-					  PROBE_CONNECT_TIMEOUT_MS,
-				  .timeout_ms = PROBE_TIMEOUT_MS,
-				  .flags = FETCH_NEW_CONNECTION};
 
 	p->fwd = f;
 	g_strlcpy(p->endpoint, r->endpoint_id, sizeof(p->endpoint));
@@ -325,7 +358,8 @@
 	p->traits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_add_tail(&f->crashes->probes, &p->node);
-	p->fetch = fetch_start(f->fetcher, &spec, &probe_ops, p);
+	p->url = g_strdup_printf("http://%s%s", ep->addr, path);
+	probe_connect(p);
 	return p;
 }
 
@@ -446,6 +480,7 @@
 		c->checked_version = blame_version(c->blame);
 		end_blamed_attempts(f, now);
 	}
+	retry_probes(f, now);
 	propose_due(f, now);
 }
 
