forward: Stop reading answers that never end

An endpoint in trouble may send bytes without end. A host read the body of an answer that is not a stream until the endpoint closed or the caller's deadline, though it dropped what is beyond 4 MiB; the same for the body of a refusal by a move's target.

Such a transfer is ended when it exceeds its bound, and the attempt counts as broken off. Heads and events without end were bounded before, by libcurl and by EVENT_MAX_BYTES.

--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -119,6 +119,7 @@
 	log_move(r, "resume", now);
 	r->move.state = MOVE_RESUME;
 	r->move.due_us = now + OVERLAP_US;
+	r->move.refusal_bytes = 0;
 	r->move.target_fetch =
 		request_start_attempt(r, ep, r->move.handle, now);
 }
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -21,6 +21,9 @@
 /* Body of an answer that is not a stream; larger ones count as failed. */
 #define BODY_MAX_BYTES (4u << 20)
 
+/* Body of a refusal that is read to keep the order of events. */
+#define REFUSAL_MAX_BYTES (64u << 10)
+
 /*
  * Times after which refused callers are told to retry.  Those of generations
  * are spread at random, so that the callers do not return all at once.
@@ -314,20 +317,42 @@
 	relay_begin(r, now);
 }
 
+static void attempt_failed(struct request *r, const struct fetch_result *res,
+			   int64_t now);
+
+/* The body of a refusal by a move's target is not used. */
+static void count_refusal_body(struct request *r, size_t n)
+{
+	r->move.refusal_bytes += n;
+	if (r->move.refusal_bytes <= REFUSAL_MAX_BYTES)
+		return;
+	fetch_cancel(r->move.target_fetch);
+	r->move.target_fetch = NULL;
+	move_target_failed(r, clock_mono_us());
+}
+
 static void on_data(void *arg, struct fetch *fetch, const char *p, size_t n)
 {
 	struct request *r = arg;
 
-	if (fetch == r->move.target_fetch) /* the body of a refusal */
+	if (fetch == r->move.target_fetch) {
+		count_refusal_body(r, n);
 		return;
+	}
 	if (r->state == REQUEST_STREAM) {
 		relay_data(r, p, n, clock_mono_us());
 		return;
 	}
-	if (buf_unread(&r->body) + n > BODY_MAX_BYTES)
-		r->body_too_big = true;
-	else
+	if (buf_unread(&r->body) + n <= BODY_MAX_BYTES) {
 		buf_add(&r->body, p, n);
+		return;
+	}
+	/* It may never end. */
+	const struct fetch_result res = {
+		.err = FETCH_BROKEN, .sent = 1, .error_text = "body too large"};
+	fetch_cancel(r->fetch);
+	r->fetch = NULL;
+	attempt_failed(r, &res, clock_mono_us());
 }
 
 static void forward_answer(struct request *r, struct fetch *fetch, int64_t now)
@@ -379,7 +404,6 @@
 	request_detach(r);
 	buf_consume(&r->body, buf_unread(&r->body));
 	r->status = 0;
-	r->body_too_big = false;
 	request_place(r, now);
 }
 
@@ -435,7 +459,7 @@
 	}
 	bool usable = res->err == FETCH_OK && r->answer.has_seal &&
 		      !r->answer.wrong_request && !r->answer.not_run &&
-		      !r->answer.wrong_endpoint && !r->body_too_big;
+		      !r->answer.wrong_endpoint;
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
 	if (usable && ep)
 		endpoints_record_success(r->fwd, ep, now);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -53,6 +53,7 @@
 	struct fetch *target_fetch; /* the request at the target */
 	struct buf copy_reply;	    /* body of the answer to the copy order */
 	int last_status;	    /* HTTP status of the last answer */
+	size_t refusal_bytes;	    /* of the target's body, if it refuses */
 	unsigned int copy_attempts; /* copy orders sent */
 	int64_t start_us;
 	int64_t due_us; /* when MOVE_WAIT or MOVE_RESUME takes its next step */
@@ -93,7 +94,6 @@
 	int status;	      /* HTTP status, 0: none yet */
 	struct answer answer; /* as its headers say */
 	struct buf body;      /* of an answer that is not a stream */
-	bool body_too_big;
 
 	/* Stream. */
 	struct buf partial_event; /* received without its end */
