forward: Do not take a stream without length or events for an answer

An answer may have neither a length nor chunks and end with its connection. If its server crashed as it began to write, the host passed the empty stream on as complete, and took it as proof that the request's prompt parts are sound, which keeps a part that crashes servers from being blamed.

Test. badbytes.sh, "closed before the first event": "whole" before, "broken off" now.

--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -156,7 +156,8 @@
 		est_observe(r->fwd->est, "", r->route->name,
 			    (uint32_t)(r->events * tokens_per_event), now);
 	request_log(r, "answered", "ok", now);
-	crashes_request_served(r, now);
+	if (!r->answer.unframed)
+		crashes_request_served(r, now);
 	counter_add(C_FORWARDED, "ok", 1);
 	httpd_stream_end(r->http);
 	request_free(r);
@@ -175,6 +176,11 @@
 {
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
 
+	/* A server that crashes may close its connections in order. */
+	if (complete && r->answer.unframed && !r->events) {
+		complete = false;
+		why = "closed before the first event";
+	}
 	if (complete && !buf_unread(&r->partial_event)) {
 		r->stream_ended = true;
 		if (!buf_unread(&r->unsent_events))
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -368,7 +368,8 @@
 	g_ptr_array_add(h, NULL);
 	request_log(r, "answered", r->status < 500 ? "ok" : "endpoint_error",
 		    now);
-	crashes_request_served(r, now);
+	if (!r->answer.unframed)
+		crashes_request_served(r, now);
 	httpd_reply(r->http, r->status, (const char *const *)h->pdata,
 		    buf_head(&r->body), buf_unread(&r->body));
 	g_ptr_array_unref(h);
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -73,6 +73,7 @@
 	bool wrong_endpoint; /* another endpoint uses the address */
 	bool wrong_request;  /* the response is for another request */
 	bool has_seal;	/* has the endpoint's marker of a genuine response */
+	bool unframed;	/* ends with its connection, without a length */
 	bool has_limit; /* the endpoint limits the requests that it takes */
 	double limit_per_s; /* requests a second, from all hosts together */
 };
