forward: Divide a limit among hosts only where requests may meet

Each host kept to its part of each endpoint's limit: with 70 hosts and 44 endpoints one request in 70 s for each pair. Parts follow what callers did in the last 2 s, so they pile up on hosts that are quiet and are missing on busy ones. They are needed only where many hosts could send to one endpoint before they learn of each other's requests.

The sum of what all hosts sent decides alone, unless the requests that arrive in the lag of the totals, spread over the endpoints that have room, exceed a quarter of what the endpoint takes in the window + 1, or it takes less than a request in the window.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -33,6 +33,21 @@
 	g_free(c->endpoints);
 }
 
+/* Marks the targets whose limits leave no request for this host. */
+static void apply_limits(struct candidates *c, struct fwd *f,
+			 const char *service, int64_t now)
+{
+	struct rate_hosts hosts = endpoints_rate_hosts(f, service, now);
+
+	for (size_t i = 0; i < c->n; i++)
+		hosts.endpoints += c->targets[i].usable &&
+				   rate_is_below_limit(&c->endpoints[i]->rate,
+						       &hosts, now);
+	for (size_t i = 0; i < c->n; i++)
+		c->targets[i].rate_limited =
+			!rate_has_room(&c->endpoints[i]->rate, &hosts, now);
+}
+
 static struct candidates gather_candidates(struct request *r,
 					   const char *except_id,
 					   const char *near_dc, int64_t now)
@@ -55,7 +70,6 @@
 				  now >= ep->avoid_until_us &&
 				  !health_is_unhealthy(&ep->health, now),
 			.excluded = !strcmp(ep->id, except_id),
-			.rate_limited = !endpoints_has_rate_room(f, ep, now),
 			.distance = distance(near_dc, ep),
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
@@ -70,6 +84,7 @@
 			.tie_breaker = g_rand_int(f->rand),
 		};
 	}
+	apply_limits(&c, f, r->service->name, now);
 	return c;
 }
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -346,17 +346,16 @@
 			    "endpoint");
 }
 
-bool endpoints_has_rate_room(struct fwd *f, struct fwd_endpoint *ep,
-			     int64_t now)
+struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
+				       int64_t now)
 {
-	const struct service_state *s = endpoints_service_state(f, ep->service);
-	const struct rate_hosts hosts = {
+	const struct service_state *s = endpoints_service_state(f, service);
+
+	return (struct rate_hosts){
 		.n = f->n_hosts,
 		.arrivals = rate_window_count(&s->arrivals, now),
 		.arrivals_elsewhere = s->arrivals_elsewhere,
 		.recent = now - f->totals_received_us < TOTALS_VALID_US};
-
-	return !ep->rate.limited || rate_has_room(&ep->rate, &hosts, now);
 }
 
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -222,9 +222,10 @@
 /* Applies what an answer says of the requests that the endpoint takes. */
 void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
 			   const struct answer *answer, int64_t now);
-/* Whether the endpoint's limit leaves a request for this host. */
-bool endpoints_has_rate_room(struct fwd *f, struct fwd_endpoint *ep,
-			     int64_t now);
+/* What this host has of all hosts' requests for the service; without the number
+ * of endpoints. */
+struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
+				       int64_t now);
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
--- a/src/forward/rate.c
+++ b/src/forward/rate.c
@@ -18,6 +18,12 @@
  * the first one. */
 #define BURST_S 1.0
 
+/* Time until a host has the requests that others sent, in their totals. */
+#define TOTALS_LAG_S 0.15
+
+/* Part of what an endpoint takes in a window by which it may be exceeded. */
+#define EXCESS_PERCENT 25
+
 /* Time for which a statement that lifts a limit is sent to other hosts. */
 #define LIFTED_REPORT_US (10 * USEC_PER_SEC)
 
@@ -70,30 +76,60 @@
 	       per_s * hosts->arrivals / all * (100 - EQUAL_PERCENT) / 100;
 }
 
+static double used_per_s(const struct rate *r)
+{
+	return MAX(r->per_s, PER_S_MIN);
+}
+
+static double used_in_window(const struct rate *r)
+{
+	return used_per_s(r) * ((double)RATE_WINDOW_US / USEC_PER_SEC);
+}
+
+bool rate_is_below_limit(const struct rate *r, const struct rate_hosts *hosts,
+			 int64_t now)
+{
+	unsigned int sent = rate_window_count(&r->sent, now);
+
+	return !r->limited || !hosts->recent ||
+	       sent + r->sent_elsewhere + 1 <= MAX(used_in_window(r), 1);
+}
+
+/* Whether too many requests may meet at the endpoint before hosts learn of
+ * each other's. */
+static bool is_contended(const struct rate *r, const struct rate_hosts *hosts)
+{
+	double arrivals_per_s =
+		(double)(hosts->arrivals + hosts->arrivals_elsewhere) *
+		USEC_PER_SEC / RATE_WINDOW_US;
+	double meeting =
+		arrivals_per_s * TOTALS_LAG_S / MAX(hosts->endpoints, 1);
+
+	/* A window that takes less than one request says little. */
+	return used_in_window(r) < 1 ||
+	       meeting > 1 + used_in_window(r) * EXCESS_PERCENT / 100;
+}
+
 bool rate_has_room(struct rate *r, const struct rate_hosts *hosts, int64_t now)
 {
+	double share = host_share(used_per_s(r), hosts);
+
 	if (!r->limited)
 		return true;
-	double per_s = MAX(r->per_s, PER_S_MIN);
-	double in_window = per_s * ((double)RATE_WINDOW_US / USEC_PER_SEC);
-	double share = host_share(per_s, hosts);
-	unsigned int sent = rate_window_count(&r->sent, now);
-
 	if (r->tokens_us)
 		r->tokens +=
 			share * (double)(now - r->tokens_us) / USEC_PER_SEC;
 	r->tokens = MIN(r->tokens, 1 + share * BURST_S);
 	r->tokens_us = now;
-	if (hosts->recent && sent + r->sent_elsewhere + 1 > MAX(in_window, 1))
-		return false;
-	return r->tokens >= 1;
+	return rate_is_below_limit(r, hosts, now) &&
+	       (r->tokens >= 1 || (hosts->recent && !is_contended(r, hosts)));
 }
 
 void rate_record_sent(struct rate *r, int64_t now)
 {
 	rate_window_add(&r->sent, now);
 	if (r->limited)
-		r->tokens -= 1;
+		r->tokens = MAX(r->tokens - 1, 0);
 }
 
 bool rate_is_reported(const struct rate *r, int64_t now)
--- a/src/forward/rate.h
+++ b/src/forward/rate.h
@@ -9,12 +9,13 @@
  * together.  Pure functions, no I/O.
  *
  * The limit may be a few requests a second while a hundred hosts send to the
- * endpoint, so a host's fixed part would be one request in many seconds.  Each
- * host uses the part of the limit that its callers have in all requests for the
- * service, and none while all hosts together have sent as much as the endpoint
- * takes in RATE_WINDOW_US.  Both come with the totals of the control processes,
- * which are some 0.1 s old; a host without recent totals uses the part of one
- * host among all.
+ * endpoint, so a host's fixed part would be one request in many seconds.  Hosts
+ * send nothing while all together have sent as much as the endpoint takes in
+ * RATE_WINDOW_US, by the totals of the control processes, which are some 0.1 s
+ * old.  When many requests may meet at the endpoint in that time, each host
+ * also keeps to the part of the limit that its callers have in all requests for
+ * the service.  A host without recent totals keeps to the part of one host
+ * among all.
  *
  * What an endpoint says of its limit is a statement with a time.  A later one
  * replaces it, whichever host received it.
@@ -49,7 +50,8 @@
 	unsigned int n;	       /* hosts, this one included */
 	unsigned int arrivals; /* requests for the service here */
 	unsigned int arrivals_elsewhere;
-	bool recent; /* the totals are recent */
+	unsigned int endpoints; /* of the service that have room, at least 1 */
+	bool recent;		/* the totals are recent */
 };
 
 /*
@@ -61,6 +63,10 @@
 bool rate_state(struct rate *r, bool limited, double per_s, int64_t stated_us,
 		double random);
 
+/* Whether all hosts together have sent less than the endpoint takes. */
+bool rate_is_below_limit(const struct rate *r, const struct rate_hosts *hosts,
+			 int64_t now);
+
 /* Whether this host may send a request to the endpoint. */
 bool rate_has_room(struct rate *r, const struct rate_hosts *hosts, int64_t now);
 
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -60,6 +60,7 @@
 {
 	rate_window_add(&f->arrivals[i], now);
 	hosts[i].n = f->n_hosts;
+	hosts[i].endpoints = 1;
 	hosts[i].recent = i >= f->cut;
 	hosts[i].arrivals = rate_window_count(&f->arrivals[i], now);
 	if (!rate_has_room(&f->rates[i], &hosts[i], now))
