--- a/tests/scripts/lib.sh
+++ b/tests/scripts/lib.sh
@@ -232,7 +232,7 @@
 	fi
 }
 trap stop_all EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' INT TERM PIPE
 
 # start_fleet: three data centres, ready, with the settings above in force.
 start_fleet() {
