control: Count the time since a load from one moment

Cause, by reading. ctl_order_takeover() compares the wall clock, read after the election's other work, with a steady time taken before it, so the time in between counts twice; and both stamps of the wall clock are truncated to milliseconds, which may add one more.

The wall clock is taken back to the steady time, and a millisecond less counts as elapsed. test_pace: test_truncated_stamps failed before; two expected values are exact and a millisecond longer, as the contract is now.

--- a/src/control/ctl_order.c
+++ b/src/control/ctl_order.c
@@ -444,8 +444,10 @@
 {
 	g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
 
-	pace_take_over(&c->store_pace, now,
-		       (uint64_t)(clock_wall_us() / USEC_PER_MSEC),
+	/* The wall clock at `now`, some milliseconds ago. */
+	int64_t wall_us = clock_wall_us() - (clock_mono_us() - now);
+
+	pace_take_over(&c->store_pace, now, (uint64_t)(wall_us / USEC_PER_MSEC),
 		       sm_orders(c->sm), store_load_us, c);
 	order_for_each_open(sm_orders(c->sm), collect_order_id, ids);
 	for (guint i = 0; i < ids->len; i++) {
--- a/src/control/pace.c
+++ b/src/control/pace.c
@@ -34,12 +34,13 @@
 	/*
 	 * Counts from the time of the result, which is an upper bound: the load
 	 * began when the order was received, before its result was recorded.
-	 * A wall clock that was set back does not extend it.
+	 * A wall clock that was set back does not extend it.  Both stamps are
+	 * truncated, so up to a millisecond less may have passed.
 	 */
 	left_us = t->load_us(order->intent, t->ctx);
 	if (t->now_ms > order->done_ms)
-		left_us -=
-			(int64_t)(t->now_ms - order->done_ms) * USEC_PER_MSEC;
+		left_us -= (int64_t)(t->now_ms - order->done_ms - 1) *
+			   USEC_PER_MSEC;
 	t->running_us = MAX(t->running_us, left_us);
 }
 
--- a/tests/test_pace.c
+++ b/tests/test_pace.c
@@ -75,10 +75,12 @@
 	ck_assert_int_eq(takeover_wait_us(o), 0);
 	add_intent(o, "a", "load_model");
 	add_result(o, "a", 0, NOW_MS - 4000);
-	ck_assert_int_eq(takeover_wait_us(o), LOAD_US - 4 * USEC_PER_SEC);
+	ck_assert_int_eq(takeover_wait_us(o),
+			 LOAD_US - 4 * USEC_PER_SEC + USEC_PER_MSEC);
 	add_intent(o, "b", "load_version");
 	add_result(o, "b", -MW_EUNKNOWN, NOW_MS - 1000);
-	ck_assert_int_eq(takeover_wait_us(o), LOAD_US - USEC_PER_SEC);
+	ck_assert_int_eq(takeover_wait_us(o),
+			 LOAD_US - USEC_PER_SEC + USEC_PER_MSEC);
 	orders_free(o);
 }
 END_TEST
@@ -121,6 +123,19 @@
 }
 END_TEST
 
+/* Guards against a load that starts early, as two stamps of a millisecond each
+ * seem to be further apart than the times they were taken at. */
+START_TEST(test_truncated_stamps)
+{
+	struct orders *o = orders_new();
+
+	add_intent(o, "a", "load_model");
+	add_result(o, "a", 0, NOW_MS - 1);
+	ck_assert_int_eq(takeover_wait_us(o), LOAD_US);
+	orders_free(o);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("pace");
@@ -130,6 +145,7 @@
 	tcase_add_test(tc, test_load_runs_on_after_its_result);
 	tcase_add_test(tc, test_refused_and_ended_loads);
 	tcase_add_test(tc, test_loads_without_result);
+	tcase_add_test(tc, test_truncated_stamps);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
 	srunner_run_all(sr, CK_ENV);
