crashes: Count an endpoint that another one replaced; split off the reports

An endpoint that falls silent and starts again under another id was no evidence: when its attempts are ended, the host's connection reaches the new incarnation and finds it alive. A replaced endpoint now counts as crashed without one. Not covered by a test: a stand-in cannot fall silent and bind its address anew at the same time.

--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/crash_reports.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
 #include "policy/blame.h"
@@ -22,15 +23,6 @@
 #define PROBE_RETRY_US (60 * USEC_PER_MSEC)
 #define PROBES_MAX 5
 
-#define PROPOSE_TIMEOUT_MS 1200
-#define PROPOSE_RETRY_US (300 * USEC_PER_MSEC)
-
-/*
- * All hosts that serve a trait with a crash clear it.  They wait for a random
- * part of this time, in which the log may have cleared it already.
- */
-#define CLEAR_SPREAD_US (300 * USEC_PER_MSEC)
-
 #define REQUEST_HASH_BYTES 16
 
 /* Traits of one request. */
@@ -53,23 +45,12 @@
 	GHashTable *traits; /* set of the suspects' traits */
 };
 
-/* A command for the log that is not committed yet. */
-struct pending {
-	struct list node; /* in crashes::pending */
-	struct fwd *fwd;
-	Mw__CrashMark *mark; /* NULL: a clear */
-	char *cleared_trait;
-	int64_t due_us; /* of the next proposal */
-	bool proposed;	/* a proposal is open */
-};
-
 struct crashes {
 	struct blame *blame;
 	uint64_t log_version;	  /* of the last marks of the log */
 	uint64_t checked_version; /* of `blame`, when attempts were checked */
 	struct list probes;
-	struct list pending;
-	size_t n_pending;
+	struct crash_reports *reports;
 };
 
 /* ---- traits ---- */
@@ -131,97 +112,6 @@
 			     trait);
 }
 
-/* ---- proposals ---- */
-
-static void pending_free(struct pending *p)
-{
-	list_del(&p->node);
-	p->fwd->crashes->n_pending--;
-	if (p->mark)
-		mw__crash_mark__free_unpacked(p->mark, NULL);
-	g_free(p->cleared_trait);
-	g_free(p);
-}
-
-static void on_proposed(int err, const Mw__Frame *reply, void *ctx)
-{
-	struct pending *p = ctx;
-
-	p->proposed = false;
-	if (err == 0 && reply->body_case == MW__FRAME__BODY_PROPOSE_RESULT &&
-	    reply->propose_result->err == 0)
-		pending_free(p);
-	else
-		p->due_us = clock_mono_us() + PROPOSE_RETRY_US;
-}
-
-static void propose(struct pending *p, int64_t now)
-{
-	Mw__Command cmd = MW__COMMAND__INIT;
-	Mw__SuspectCleared cleared = MW__SUSPECT_CLEARED__INIT;
-
-	if (p->mark) {
-		cmd.body_case = MW__COMMAND__BODY_CRASH_MARK;
-		cmd.crash_mark = p->mark;
-	} else {
-		cmd.body_case = MW__COMMAND__BODY_SUSPECT_CLEARED;
-		cmd.suspect_cleared = &cleared;
-		cleared.fingerprint = p->cleared_trait;
-		cleared.force = true;
-	}
-	p->proposed = control_link_propose(p->fwd, &cmd, PROPOSE_TIMEOUT_MS,
-					   on_proposed, p) == 0;
-	p->due_us = now + PROPOSE_RETRY_US;
-}
-
-static void propose_due(struct fwd *f, int64_t now)
-{
-	struct pending *p, *tmp;
-
-	list_for_each_entry_safe (p, tmp, &f->crashes->pending, node) {
-		if (p->proposed || now < p->due_us)
-			continue;
-		if (p->mark ||
-		    blame_is_in_log(f->crashes->blame, p->cleared_trait))
-			propose(p, now);
-		else
-			pending_free(p);
-	}
-}
-
-static void drop_oldest(struct crashes *c)
-{
-	struct pending *p;
-
-	list_for_each_entry (p, &c->pending, node) {
-		if (p->proposed)
-			continue;
-		struct slog l = slog_begin("crash_report_dropped");
-		slog_str(&l, "endpoint", p->mark ? p->mark->endpoint : "");
-		slog_int(&l, "pending", (int64_t)c->n_pending);
-		slog_end(&l);
-		pending_free(p);
-		return;
-	}
-}
-
-/* Takes ownership of mark; NULL for a clear of the trait. */
-static void add_pending(struct fwd *f, Mw__CrashMark *mark, const char *trait,
-			int64_t due_us)
-{
-	struct crashes *c = f->crashes;
-	struct pending *p = g_new0(struct pending, 1);
-
-	if (c->n_pending >= CRASHES_PENDING_MAX)
-		drop_oldest(c);
-	p->fwd = f;
-	p->mark = mark;
-	p->cleared_trait = g_strdup(trait);
-	p->due_us = due_us;
-	list_add_tail(&c->pending, &p->node);
-	c->n_pending++;
-}
-
 /* ---- crashes that this host has seen ---- */
 
 static void probe_free(struct probe *p)
@@ -234,16 +124,6 @@
 	g_free(p);
 }
 
-/* Returns a copy of the message, to be freed with free_unpacked(). */
-static Mw__CrashMark *copy_mark(const Mw__CrashMark *mark)
-{
-	size_t len = mw__crash_mark__get_packed_size(mark);
-	g_autofree uint8_t *bytes = g_malloc(len + 1);
-
-	mw__crash_mark__pack(mark, bytes);
-	return mw__crash_mark__unpack(NULL, len, bytes);
-}
-
 /* Records the crash and reports the traits that it counts against. */
 static size_t report_crash(struct probe *p, int64_t now)
 {
@@ -272,41 +152,47 @@
 	if (!mark.n_suspects)
 		return 0;
 	control_link_send_crash_mark(f, &mark);
-	add_pending(f, copy_mark(&mark), NULL, now);
+	crash_reports_add_mark(f->crashes->reports, &mark, now);
 	return mark.n_suspects;
 }
 
+/* Reports the crash, if there was one, by the way it was noticed (crash); logs
+ * and frees the probe. */
+static void probe_finish(struct probe *p, const char *crash, const char *detail,
+			 int64_t now)
+{
+	struct crashes *c = p->fwd->crashes;
+	size_t n_suspects = crash ? report_crash(p, now) : 0;
+	struct slog l = slog_begin("crash_probe");
+
+	slog_str(&l, "endpoint", p->endpoint);
+	slog_int(&l, "endpoint_incarnation", (int64_t)p->incarnation);
+	slog_str(&l, "outcome", crash ? crash : "no crash");
+	slog_str(&l, "detail", detail);
+	slog_int(&l, "attempts", p->attempts);
+	slog_int(&l, "traits", g_hash_table_size(p->traits));
+	slog_int(&l, "suspects", (int64_t)n_suspects);
+	slog_end(&l);
+	counter_add(C_CRASH_PROBES, crash ? crash : "no crash", 1);
+	probe_free(p);
+	crash_reports_tick(c->reports, c->blame, now);
+}
+
 static void on_probe_done(void *arg, struct fetch *fetch,
 			  const struct fetch_result *res)
 {
 	struct probe *p = arg;
-	struct fwd *f = p->fwd;
 	bool crashed = res->err == FETCH_CONNECT && res->connection_refused;
 	bool alive = res->status != 0;
 	int64_t now = clock_mono_us();
-	size_t n_suspects = 0;
 
 	(void)fetch;
 	p->fetch = NULL;
-	if (!crashed && !alive && p->attempts < PROBES_MAX) {
+	if (!crashed && !alive && p->attempts < PROBES_MAX)
 		p->due_us = now + PROBE_RETRY_US;
-		return;
-	}
-	if (crashed)
-		n_suspects = report_crash(p, now);
-	const char *outcome = crashed ? "crashed" : alive ? "alive" : "unknown";
-	counter_add(C_CRASH_PROBES, outcome, 1);
-	struct slog l = slog_begin("crash_probe");
-	slog_str(&l, "endpoint", p->endpoint);
-	slog_int(&l, "endpoint_incarnation", (int64_t)p->incarnation);
-	slog_str(&l, "outcome", outcome);
-	slog_str(&l, "detail", res->error_text);
-	slog_int(&l, "attempts", p->attempts);
-	slog_int(&l, "traits", g_hash_table_size(p->traits));
-	slog_int(&l, "suspects", (int64_t)n_suspects);
-	slog_end(&l);
-	probe_free(p);
-	propose_due(f, now);
+	else
+		probe_finish(p, crashed ? "crashed" : NULL, res->error_text,
+			     now);
 }
 
 static const struct fetch_ops probe_ops = {.done = on_probe_done};
@@ -344,8 +230,7 @@
 	return NULL;
 }
 
-static struct probe *probe_start(struct request *r,
-				 const struct fwd_endpoint *ep)
+static struct probe *probe_new(struct request *r, const struct fwd_endpoint *ep)
 {
 	struct fwd *f = r->fwd;
 	struct probe *p = g_new0(struct probe, 1);
@@ -353,13 +238,12 @@
 						  : r->service->health_path;
 
 	p->fwd = f;
+	p->url = g_strdup_printf("http://%s%s", ep->addr, path);
 	g_strlcpy(p->endpoint, r->endpoint_id, sizeof(p->endpoint));
 	p->incarnation = r->incarnation;
 	p->traits =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	list_add_tail(&f->crashes->probes, &p->node);
-	p->url = g_strdup_printf("http://%s%s", ep->addr, path);
-	probe_connect(p);
 	return p;
 }
 
@@ -369,16 +253,21 @@
 	struct probe *p;
 	struct traits t;
 
-	(void)now;
 	if (!ep || ep->incarnation != r->incarnation ||
 	    r->events >= CRASHES_SERVED_EVENTS)
 		return;
 	p = probe_find(r->fwd, r);
 	if (!p)
-		p = probe_start(r, ep);
+		p = probe_new(r, ep);
 	collect_traits(&t, r);
 	for (size_t i = 0; i < t.n; i++)
 		g_hash_table_add(p->traits, g_strdup(t.list[i]));
+	/* Another incarnation would answer at its address. */
+	if (ep->is_replaced)
+		probe_finish(p, "replaced", "another endpoint has its address",
+			     now);
+	else if (!p->fetch && !p->attempts)
+		probe_connect(p);
 }
 
 void crashes_request_served(struct request *r, int64_t now)
@@ -394,9 +283,7 @@
 	for (size_t i = 0; i < t.n; i++) {
 		if (!blame_record_success(b, t.list[i], now))
 			continue;
-		add_pending(f, NULL, t.list[i],
-			    now + (int64_t)(g_rand_double(f->rand) *
-					    CLEAR_SPREAD_US));
+		crash_reports_add_clear(f->crashes->reports, t.list[i], now);
 	}
 }
 
@@ -481,7 +368,7 @@
 		end_blamed_attempts(f, now);
 	}
 	retry_probes(f, now);
-	propose_due(f, now);
+	crash_reports_tick(f->crashes->reports, f->crashes->blame, now);
 }
 
 void crashes_start(struct fwd *f)
@@ -489,7 +376,7 @@
 	f->crashes = g_new0(struct crashes, 1);
 	f->crashes->blame = blame_new(0);
 	list_init(&f->crashes->probes);
-	list_init(&f->crashes->pending);
+	f->crashes->reports = crash_reports_new(f);
 }
 
 void crashes_stop(struct fwd *f)
@@ -498,8 +385,7 @@
 
 	while (!list_empty(&c->probes))
 		probe_free(list_first(&c->probes, struct probe, node));
-	while (!list_empty(&c->pending))
-		pending_free(list_first(&c->pending, struct pending, node));
+	crash_reports_free(c->reports);
 	blame_free(c->blame);
 	g_free(c);
 }
--- a/src/forward/crashes.h
+++ b/src/forward/crashes.h
@@ -8,17 +8,15 @@
  * forwards.
  *
  * When an attempt ends without an answer, the host connects to the endpoint
- * once more.  If the connection is refused, the endpoint has crashed, and the
- * request's traits are its suspects.  The host sends them to all connected
+ * once more.  If the connection is refused, the endpoint has crashed, as it has
+ * if another one has announced its address, and the request's traits are its
+ * suspects.  The host sends them to all connected
  * control processes, which forward them to all hosts, and proposes them to the
  * replicated log until they are committed.  A host that connects to a control
  * process gets the marks of the log, so that hosts that were frozen, cut off or
  * not started yet also learn them.
  */
 
-/* Uncommitted reports and clears; the oldest is dropped first. */
-#define CRASHES_PENDING_MAX 256
-
 /* Events after which an endpoint has survived the beginning of an answer. */
 #define CRASHES_SERVED_EVENTS 2
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -25,6 +25,8 @@
 #define LIMIT_STATED 1
 #define LIMIT_LIFTED 2
 
+#define LIMIT_AGE_MAX_MS UINT64_C(86400000)
+
 #define MILLI 1000
 
 /* Number of entry hosts that is assumed until the first totals arrive. */
@@ -167,7 +169,9 @@
 	if (row->limit_state)
 		state_limit(f, ep, row->limit_state == LIMIT_STATED,
 			    (double)row->limit_milli / MILLI,
-			    now - (int64_t)row->limit_age_ms * USEC_PER_MSEC,
+			    now - (int64_t)MIN(row->limit_age_ms,
+					       LIMIT_AGE_MAX_MS) *
+					    USEC_PER_MSEC,
 			    "hosts");
 	return load_decreased;
 }
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -36,6 +36,7 @@
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
  *   crashes.c       requests that crash endpoints
+ *   crash_reports.c what the replicated log is told of crashes
  *
  * The host holds no lease: it serves the newest plan that it has received, also
  * while it is cut off from the control processes.
