--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -24,8 +24,8 @@
 
 #define EXPIRE_INTERVAL_US (1 * USEC_PER_SEC)
 
-/* Crash marks that are sent to entry hosts, the newest ones: some 50 KB with two
- * crashes each. */
+/* Crash marks that are sent to entry hosts, the newest ones: some 50 KB with
+ * two crashes each. */
 #define CRASH_MARKS_SENT_MAX 512
 
 /* Changes of the crash marks within this time are sent together. */
