--- a/src/forward/crash_reports.h
+++ b/src/forward/crash_reports.h
@@ -5,8 +5,8 @@
 #include "policy/blame.h"
 
 /*
- * What a host has to tell the replicated log of crashes: suspects, and traits
- * that are cleared.  Each is proposed until the log has it.
+ * A host's reports on crashes for the replicated log: suspects, and traits that
+ * are cleared.  Each is proposed until it is committed.
  */
 struct crash_reports;
 
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -36,7 +36,7 @@
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
  *   crashes.c       requests that crash endpoints
- *   crash_reports.c what the replicated log is told of crashes
+ *   crash_reports.c reports on crashes for the replicated log
  *
  * The host holds no lease: it serves the newest plan that it has received, also
  * while it is cut off from the control processes.
