forward, registry: Heed endpoints that say they leave or want a pause

Cause: nothing read Server-Leaving, nor Retry-After of a refusal. A host went on sending to an endpoint that had said it ends, and repeated requests at one that had asked for time.

The registry, which owns the state of endpoints, keeps for an incarnation that its answers said it leaves; no later announcement makes it serve again, and the row goes through the control processes to all hosts, as an endpoint may tell only some. A pause holds on the host that got it (pause.c): no requests, copies or orders there until its end. It is no failure. If all endpoints of a service are paused, callers are refused at once with the time until the first is back. Control processes heed both in load reports.

A host that is offered an endpoint which it knows to have left sends its row back: control processes forget such rows when all of them restart.

--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -283,6 +283,18 @@
 	replicate_row(f, row->info, fn, ctx);
 }
 
+void ctl_feed_mark_leaving(struct ctl_feed *f, const char *id,
+			   uint64_t incarnation, int64_t now)
+{
+	const struct registry_row *row =
+		registry_mark_leaving(f->registry, id, incarnation, now);
+
+	if (!row)
+		return;
+	log_row(row->info, "report");
+	forward_row(f, row->info, true, true);
+}
+
 void ctl_feed_merge_rows(struct ctl_feed *f, struct peer *from,
 			 const Mw__Frame *frame, int64_t now)
 {
@@ -296,7 +308,9 @@
 		if (change != REGISTRY_CHANGED || !row)
 			continue;
 		log_row(row->info, peer_hello(from)->host);
-		forward_row(f, row->info, true, false);
+		/* A host sends what an endpoint told it, and what this process
+		 * has forgotten; no other process sends that. */
+		forward_row(f, row->info, true, is_entry_host(from));
 	}
 	if (frame->rpc) {
 		Mw__Frame reply = MW__FRAME__INIT;
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -39,6 +39,10 @@
 /* Call after a new version of the tree has been applied. */
 void ctl_feed_tree_changed(struct ctl_feed *f);
 
+/* An answer of this incarnation said that the endpoint leaves. */
+void ctl_feed_mark_leaving(struct ctl_feed *f, const char *id,
+			   uint64_t incarnation, int64_t now);
+
 /* Merges endpoint rows of another process; replies if the frame is a call. */
 void ctl_feed_merge_rows(struct ctl_feed *f, struct peer *from,
 			 const Mw__Frame *frame, int64_t now);
--- a/src/control/ctl_poll.c
+++ b/src/control/ctl_poll.c
@@ -8,7 +8,9 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_feed.h"
+#include "forward/pause.h"
 #include "iface/iface.h"
+#include "obs/slog.h"
 
 /* Shorter would gain nothing: a reported load is half a second old anyway. */
 #define POLL_INTERVAL_US (500 * USEC_PER_MSEC)
@@ -19,6 +21,7 @@
 struct poll_request {
 	struct ctl_poll *poll;
 	char *id;
+	uint64_t incarnation;
 	struct buf body;
 };
 
@@ -26,11 +29,18 @@
 	struct ctl *ctl;
 	struct plan *plan; /* its services with runs_model are polled */
 	uint64_t plan_version;
-	GHashTable *loads; /* endpoint id to Mw__UseRow */
+	GHashTable *loads;  /* endpoint id to Mw__UseRow */
+	GHashTable *pauses; /* endpoint id to struct poll_pause */
 	int64_t last_poll_us;
 	uint64_t seq;
 };
 
+/* An endpoint that answered a poll with the wish for a pause. */
+struct poll_pause {
+	uint64_t incarnation;
+	int64_t until_us;
+};
+
 static void row_free(void *p)
 {
 	Mw__UseRow *row = p;
@@ -46,6 +56,8 @@
 	p->ctl = c;
 	p->loads =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
+	p->pauses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return p;
 }
 
@@ -55,9 +67,55 @@
 		return;
 	plan_unref(p->plan);
 	g_hash_table_destroy(p->loads);
+	g_hash_table_destroy(p->pauses);
 	g_free(p);
 }
 
+static void begin_pause(struct poll_request *req, int64_t asked_us, int64_t now)
+{
+	struct poll_pause *pause = g_new0(struct poll_pause, 1);
+
+	pause->incarnation = req->incarnation;
+	pause->until_us = pause_extend(0, asked_us, now);
+	g_hash_table_replace(req->poll->pauses, g_strdup(req->id), pause);
+	struct slog l = slog_begin("endpoint_paused");
+	slog_str(&l, "endpoint", req->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)req->incarnation);
+	slog_str(&l, "source", "report");
+	slog_int(&l, "asked_us", asked_us);
+	slog_int(&l, "wait_us", pause->until_us - now);
+	slog_end(&l);
+}
+
+/* Whether the endpoint is not to be polled now; forgets a pause that is over.
+ */
+static bool is_paused(struct ctl_poll *p, const Mw__EndpointInfo *info,
+		      int64_t now)
+{
+	const struct poll_pause *pause =
+		g_hash_table_lookup(p->pauses, info->id);
+
+	if (!pause)
+		return false;
+	if (pause->incarnation == info->incarnation && now < pause->until_us)
+		return true;
+	g_hash_table_remove(p->pauses, info->id);
+	return false;
+}
+
+static void on_headers(void *arg, struct fetch *f, int status)
+{
+	struct poll_request *req = arg;
+	struct ctl *c = req->poll->ctl;
+	struct endpoint_notice notice = c->iface->decode_notice(f, status);
+	int64_t now = clock_mono_us();
+
+	if (notice.pause_us)
+		begin_pause(req, notice.pause_us, now);
+	if (notice.leaving)
+		ctl_feed_mark_leaving(c->feed, req->id, req->incarnation, now);
+}
+
 static void on_data(void *arg, struct fetch *f, const char *p, size_t n)
 {
 	struct poll_request *req = arg;
@@ -95,7 +153,8 @@
 	g_free(req);
 }
 
-static const struct fetch_ops poll_ops = {.data = on_data, .done = on_done};
+static const struct fetch_ops poll_ops = {
+	.headers = on_headers, .data = on_data, .done = on_done};
 
 static void update_plan(struct ctl_poll *p)
 {
@@ -124,13 +183,15 @@
 
 	if (row->left || !s || !s->runs_model ||
 	    strcmp(info->dc, p->ctl->conf->dc) != 0 ||
-	    strcmp(info->state, REGISTRY_SERVING) != 0) {
+	    strcmp(info->state, REGISTRY_SERVING) != 0 ||
+	    is_paused(p, info, clock_mono_us())) {
 		g_hash_table_remove(p->loads, info->id);
 		return;
 	}
 	struct poll_request *req = g_new0(struct poll_request, 1);
 	req->poll = p;
 	req->id = g_strdup(info->id);
+	req->incarnation = info->incarnation;
 	g_autofree char *url = g_strdup_printf("http://%s%s", info->addr,
 					       p->ctl->iface->report_path);
 	struct fetch_spec spec = {.method = "GET",
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -68,6 +68,7 @@
 		c.targets[c.n++] = (struct place_target){
 			.usable = ep->serving && !ep->is_gone &&
 				  now >= ep->avoid_until_us &&
+				  now >= ep->paused_until_us &&
 				  !health_is_unhealthy(&ep->health, now),
 			.excluded = !strcmp(ep->id, except_id),
 			.distance = distance(near_dc, ep),
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -189,6 +189,43 @@
 			peer_send(p, &frame);
 }
 
+/* ---- endpoints ---- */
+
+static void send_endpoint(struct peer *p, Mw__EndpointInfo *info)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	Mw__EndpointRows msg = MW__ENDPOINT_ROWS__INIT;
+
+	msg.rows = &info;
+	msg.n_rows = 1;
+	frame.body_case = MW__FRAME__BODY_ENDPOINT_ROWS;
+	frame.endpoint_rows = &msg;
+	peer_send(p, &frame);
+}
+
+void control_link_send_endpoint(struct fwd *f, Mw__EndpointInfo *info)
+{
+	for (struct peer *p = peer_next(f->peers, NULL); p;
+	     p = peer_next(f->peers, p))
+		if (is_control(p))
+			send_endpoint(p, info);
+}
+
+static void handle_endpoint_row(struct fwd *f, struct peer *p,
+				const Mw__EndpointInfo *info, int64_t now)
+{
+	Mw__EndpointInfo *known = endpoints_update(f, info, now);
+
+	if (!known)
+		return;
+	struct slog l = slog_begin("endpoint_forgotten");
+	slog_str(&l, "endpoint", known->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)known->incarnation);
+	slog_str(&l, "peer", peer_hello(p)->host);
+	slog_end(&l);
+	send_endpoint(p, known);
+}
+
 /* ---- peers ---- */
 
 static void on_frame(struct peer *p, const Mw__Frame *frame, void *ctx)
@@ -206,7 +243,8 @@
 		break;
 	case MW__FRAME__BODY_ENDPOINT_ROWS:
 		for (size_t i = 0; i < frame->endpoint_rows->n_rows; i++)
-			endpoints_update(f, frame->endpoint_rows->rows[i], now);
+			handle_endpoint_row(f, p, frame->endpoint_rows->rows[i],
+					    now);
 		break;
 	case MW__FRAME__BODY_USE_TOTALS:
 		f->totals_received_us = now;
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "forward/request.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 /*
@@ -78,6 +79,7 @@
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
 	ep->rate = (struct rate){0};
+	ep->paused_until_us = 0;
 }
 
 static const char *served_service(const Mw__EndpointInfo *info)
@@ -125,13 +127,19 @@
 		f->place_waiting = true;
 }
 
-void endpoints_update(struct fwd *f, const Mw__EndpointInfo *info, int64_t now)
+Mw__EndpointInfo *endpoints_update(struct fwd *f, const Mw__EndpointInfo *info,
+				   int64_t now)
 {
-	registry_merge(f->registry, info, now);
-	if (!f->place_waiting)
-		return;
-	f->place_waiting = false;
-	request_place_waiting(f, now);
+	bool ignored =
+		registry_merge(f->registry, info, now) == REGISTRY_IGNORED;
+
+	if (f->place_waiting) {
+		f->place_waiting = false;
+		request_place_waiting(f, now);
+	}
+	return ignored && registry_contradicts(f->registry, info)
+		       ? registry_find(f->registry, info->id)->info
+		       : NULL;
 }
 
 void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep)
@@ -341,15 +349,78 @@
 	slog_end(&l);
 }
 
+/* All processes get to know it: the endpoint may tell only some hosts. */
+static void apply_leaving(struct fwd *f, struct fwd_endpoint *ep,
+			  const char *source, int64_t now)
+{
+	const struct registry_row *row = registry_mark_leaving(
+		f->registry, ep->id, ep->incarnation, now);
+
+	if (!row)
+		return;
+	struct slog l = slog_begin("endpoint_said_leaving");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_str(&l, "source", source);
+	slog_int(&l, "open_here", ep->open_here);
+	slog_end(&l);
+	control_link_send_endpoint(f, row->info);
+}
+
+static void apply_pause(struct fwd_endpoint *ep, int64_t pause_us,
+			const char *source, int64_t now)
+{
+	bool begins = now >= ep->paused_until_us;
+
+	ep->paused_until_us = pause_extend(ep->paused_until_us, pause_us, now);
+	/* Requests that were sent before are turned away, too. */
+	if (!begins || now >= ep->paused_until_us)
+		return;
+	counter_add(C_ENDPOINT_PAUSES, NULL, 1);
+	struct slog l = slog_begin("endpoint_paused");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_str(&l, "source", source);
+	slog_int(&l, "asked_us", pause_us);
+	slog_int(&l, "wait_us", ep->paused_until_us - now);
+	slog_int(&l, "open_here", ep->open_here);
+	slog_end(&l);
+}
+
 void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
-			   const struct answer *answer, int64_t now)
+			   const struct endpoint_notice *notice, int64_t now)
 {
 	/* Most endpoints never name a limit. */
-	if (answer->has_limit || ep->rate.stated)
-		state_limit(f, ep, answer->has_limit, answer->limit_per_s, now,
+	if (notice->has_limit || ep->rate.stated)
+		state_limit(f, ep, notice->has_limit, notice->limit_per_s, now,
 			    "endpoint");
 }
 
+void endpoints_apply_notice(struct fwd *f, struct fwd_endpoint *ep,
+			    const struct endpoint_notice *notice,
+			    const char *source, int64_t now)
+{
+	apply_pause(ep, notice->pause_us, source, now);
+	if (notice->leaving)
+		apply_leaving(f, ep, source, now);
+}
+
+struct pause_state endpoints_pauses(struct fwd *f, const char *service,
+				    int64_t now)
+{
+	struct pause_state s = PAUSE_STATE_INIT;
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+
+	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (ep->serving && !ep->is_gone &&
+		    !strcmp(ep->service, service))
+			pause_add_endpoint(&s, ep->paused_until_us,
+					   ep->avoid_until_us, now);
+	return s;
+}
+
 struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
 				       int64_t now)
 {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -11,6 +11,7 @@
 #include "conf/conf.h"
 #include "forward/budget.h"
 #include "forward/health.h"
+#include "forward/pause.h"
 #include "forward/plan.h"
 #include "forward/quota.h"
 #include "forward/rate.h"
@@ -35,6 +36,7 @@
  *   choose.c        choice of an endpoint for a request or a KV copy
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
+ *   pause.c         pauses that endpoints ask for
  *   crashes.c       requests that crash endpoints
  *   crash_reports.c reports on crashes for the replicated log
  *
@@ -70,6 +72,7 @@
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
 	struct rate rate;    /* of requests, if the endpoint limits them */
+	int64_t paused_until_us; /* it asked for no requests before */
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
 	unsigned int consecutive_failures;
@@ -182,6 +185,8 @@
 			 void (*done)(int err, const Mw__Frame *reply,
 				      void *ctx),
 			 void *ctx);
+/* Sends the row of an endpoint to all connected control processes. */
+void control_link_send_endpoint(struct fwd *f, Mw__EndpointInfo *info);
 /* Sends a crash mark to all connected control processes. */
 void control_link_send_crash_mark(struct fwd *f, Mw__CrashMark *mark);
 
@@ -200,8 +205,13 @@
 /* ---- endpoints.c ---- */
 void endpoints_start(struct fwd *f);
 void endpoints_stop(struct fwd *f);
-/* Applies an announcement, if it is newer than the last one. */
-void endpoints_update(struct fwd *f, const Mw__EndpointInfo *info, int64_t now);
+/*
+ * Applies an announcement, if it is newer than the last one.  Returns NULL, or
+ * the row to send back: the sender offers an endpoint that leaves or has left,
+ * which it has forgotten by a restart.
+ */
+Mw__EndpointInfo *endpoints_update(struct fwd *f, const Mw__EndpointInfo *info,
+				   int64_t now);
 /* Applies the totals over all other hosts. */
 void endpoints_apply_totals(struct fwd *f, const Mw__UseTotals *totals,
 			    int64_t now);
@@ -222,7 +232,20 @@
 void endpoints_mark_gone(struct fwd *f, struct fwd_endpoint *ep);
 /* Applies what an answer says of the requests that the endpoint takes. */
 void endpoints_apply_limit(struct fwd *f, struct fwd_endpoint *ep,
-			   const struct answer *answer, int64_t now);
+			   const struct endpoint_notice *notice, int64_t now);
+/*
+ * Applies what any answer of the endpoint's present incarnation says of the
+ * endpoint, except for its limit; `source` names the kind of the answer in the
+ * log.
+ */
+void endpoints_apply_notice(struct fwd *f, struct fwd_endpoint *ep,
+			    const struct endpoint_notice *notice,
+			    const char *source, int64_t now);
+/*
+ * The pauses of the service's endpoints; call it if no endpoint is usable.
+ */
+struct pause_state endpoints_pauses(struct fwd *f, const char *service,
+				    int64_t now);
 /* What this host has of all hosts' requests for the service; without the number
  * of endpoints. */
 struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -116,6 +116,10 @@
 		begin_copy(r, now);
 		return;
 	}
+	if (now < ep->paused_until_us) {
+		move_target_failed(r, now);
+		return;
+	}
 	log_move(r, "resume", now);
 	r->move.state = MOVE_RESUME;
 	r->move.due_us = now + OVERLAP_US;
@@ -185,9 +189,28 @@
 	return true;
 }
 
+/* Until when the source of the move wants no requests; 0: it takes them. */
+static int64_t source_paused_until_us(const struct request *r, int64_t now)
+{
+	const struct fwd_endpoint *source =
+		endpoints_find(r->fwd, r->move.source_id);
+
+	return source && now < source->paused_until_us ? source->paused_until_us
+						       : 0;
+}
+
 /* Chooses a target and orders the source, which must still run, to copy. */
 static void begin_copy(struct request *r, int64_t now)
 {
+	int64_t paused_until_us = source_paused_until_us(r, now);
+
+	if (paused_until_us && runs_at_source(r)) {
+		request_remove_copy(r, &r->move.target);
+		r->move.handle[0] = '\0';
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = paused_until_us;
+		return;
+	}
 	request_remove_copy(r, &r->move.target);
 	r->move.handle[0] = '\0';
 	r->move.state = MOVE_COPY;
@@ -268,6 +291,19 @@
 		buf_add(&r->move.copy_reply, p, n);
 }
 
+/* The answer to a copy order: from the source. */
+static void on_copy_order_headers(void *arg, struct fetch *fetch, int status)
+{
+	struct request *r = arg;
+	struct fwd *f = r->fwd;
+	struct fwd_endpoint *ep = endpoints_find(f, r->move.source_id);
+	struct endpoint_notice notice = f->iface->decode_notice(fetch, status);
+
+	if (ep && ep->incarnation == r->incarnation)
+		endpoints_apply_notice(f, ep, &notice, "copy order",
+				       clock_mono_us());
+}
+
 static void on_copied(struct request *r, const struct move_answer *answer,
 		      int64_t now)
 {
@@ -303,6 +339,7 @@
 }
 
 static const struct fetch_ops copy_order_ops = {
+	.headers = on_copy_order_headers,
 	.data = on_copy_order_data,
 	.done = on_copy_order_done,
 };
@@ -347,7 +384,8 @@
 	struct fwd *f = r->fwd;
 	const char *name = strrchr(handle, '/');
 
-	if (!name)
+	/* At a source that wants no requests the copy expires by itself. */
+	if (!name || source_paused_until_us(r, clock_mono_us()))
 		return;
 	g_autofree char *path = f->iface->free_copy_path(name + 1);
 	g_autofree char *url =
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -212,6 +212,20 @@
 	return true;
 }
 
+/* Refuses and frees a request if endpoints asked for a pause and none is usable
+ * before the request has waited too long. */
+static bool refuse_if_paused(struct request *r, int64_t now)
+{
+	struct pause_state s = endpoints_pauses(r->fwd, r->service->name, now);
+
+	r->back_after_us =
+		pause_refuse_after(&s, r->arrived_us + wait_max_us(r), now);
+	if (!r->back_after_us)
+		return false;
+	request_refuse(r, -MW_ENOENDPOINT, "all endpoints are paused", now);
+	return true;
+}
+
 void request_place(struct request *r, int64_t now)
 {
 	bool any_usable;
@@ -225,6 +239,8 @@
 	}
 	if (try_place(r, now, &any_usable))
 		return;
+	if (!any_usable && refuse_if_paused(r, now))
+		return;
 	if (r->fwd->n_waiting >= QUEUE_MAX ||
 	    (any_usable && would_wait_too_long(r, now))) {
 		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -34,6 +34,10 @@
 #define RETRY_CALL_US (200 * USEC_PER_MSEC)
 #define RETRY_STARTING_US (700 * USEC_PER_MSEC)
 
+/* Part of the time until a paused endpoint is back by which the returns of
+ * refused callers are spread, so that they do not all meet at it. */
+#define RETRY_BACK_SPREAD 0.25
+
 /* Number of ranks that a route can have.  The account's rank is multiplied by
  * it, so it precedes that of the route. */
 #define ROUTE_RANKS 3
@@ -211,6 +215,10 @@
 		return 0;
 	if (!r->plan) /* just started, as other hosts may have been too */
 		us = RETRY_STARTING_US;
+	else if (r->back_after_us)
+		us = r->back_after_us +
+		     (int64_t)(g_rand_double(r->fwd->rand) * RETRY_BACK_SPREAD *
+			       (double)r->back_after_us);
 	else if (r->generation && err != -MW_EDRAINING)
 		us = RETRY_GENERATION_MIN_US +
 		     (int64_t)(g_rand_double(r->fwd->rand) *
@@ -283,15 +291,21 @@
 /* ---- attempt ---- */
 
 /* Only genuine answers of the endpoint itself count. */
-static void apply_limit(struct request *r, const char *endpoint_id,
-			uint64_t incarnation, const struct answer *answer,
-			int64_t now)
+static void apply_notice(struct request *r, const char *endpoint_id,
+			 uint64_t incarnation, const struct answer *answer,
+			 int64_t now)
 {
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, endpoint_id);
 
-	if (ep && ep->incarnation == incarnation && answer->has_seal &&
-	    !answer->wrong_endpoint && !answer->wrong_request)
-		endpoints_apply_limit(r->fwd, ep, answer, now);
+	if (!ep || ep->incarnation != incarnation || answer->wrong_endpoint ||
+	    answer->wrong_request)
+		return;
+	if (answer->has_seal)
+		endpoints_apply_limit(r->fwd, ep, &answer->notice, now);
+	if (answer->has_seal || answer->not_run)
+		endpoints_apply_notice(r->fwd, ep, &answer->notice,
+				       answer->not_run ? "refusal" : "answer",
+				       now);
 }
 
 static void on_headers(void *arg, struct fetch *fetch, int status)
@@ -302,15 +316,15 @@
 	if (fetch == r->move.target_fetch) {
 		struct answer a =
 			r->fwd->iface->decode_answer(fetch, status, &r->ask);
-		apply_limit(r, r->move.target.endpoint_id,
-			    r->move.target.incarnation, &a, now);
+		apply_notice(r, r->move.target.endpoint_id,
+			     r->move.target.incarnation, &a, now);
 		move_target_answered(r, status, a.has_seal && !a.wrong_request,
 				     now);
 		return;
 	}
 	r->status = status;
 	r->answer = r->fwd->iface->decode_answer(fetch, status, &r->ask);
-	apply_limit(r, r->endpoint_id, r->incarnation, &r->answer, now);
+	apply_notice(r, r->endpoint_id, r->incarnation, &r->answer, now);
 	if (r->answer.wrong_request || !r->answer.has_seal || status != 200 ||
 	    r->route->kind != PLAN_STREAM)
 		return;
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -67,15 +67,23 @@
 	uint64_t last_event_id;	 /* last event received, 0: none */
 };
 
+/* What an endpoint says of itself in the headers of any response. */
+struct endpoint_notice {
+	bool leaving;	    /* it ends soon and wants no new requests */
+	bool has_limit;	    /* it limits the requests that it takes */
+	double limit_per_s; /* requests a second, from all hosts together */
+	int64_t pause_us;   /* it wants no requests from this host for so long;
+			       0: no such wish */
+};
+
 /* Properties of a response, decoded from its status and headers. */
 struct answer {
 	bool not_run;	     /* the endpoint guarantees that nothing ran */
 	bool wrong_endpoint; /* another endpoint uses the address */
 	bool wrong_request;  /* the response is for another request */
-	bool has_seal;	/* has the endpoint's marker of a genuine response */
-	bool unframed;	/* ends with its connection, without a length */
-	bool has_limit; /* the endpoint limits the requests that it takes */
-	double limit_per_s; /* requests a second, from all hosts together */
+	bool has_seal; /* has the endpoint's marker of a genuine response */
+	bool unframed; /* ends with its connection, without a length */
+	struct endpoint_notice notice;
 };
 
 /* Orders an endpoint to copy a generation's KV cache to another one. */
@@ -131,6 +139,8 @@
 				    const struct attempt *attempt);
 	struct answer (*decode_answer)(struct fetch *f, int status,
 				       const struct caller_request *ask);
+	/* The notice of any other response of an endpoint. */
+	struct endpoint_notice (*decode_notice)(struct fetch *f, int status);
 	/* Returns the response headers to forward to the caller. */
 	headers *(*answer_headers)(struct fetch *f);
 
--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -123,23 +123,48 @@
 	info->state = strdup(state);
 }
 
+static void set_said_leaving(Mw__EndpointInfo *info)
+{
+	info->said_leaving = true;
+	set_state(info, REGISTRY_LEAVING);
+}
+
+/* Whether the row says of the same incarnation, for the first time, that its
+ * answers said it leaves. */
+static bool says_leaving_first(const struct registry_row *row,
+			       const Mw__EndpointInfo *info)
+{
+	return row && info->said_leaving && !row->info->said_leaving &&
+	       !row->left && row->info->incarnation == info->incarnation;
+}
+
 enum registry_change registry_merge(struct registry *r,
 				    const Mw__EndpointInfo *info, int64_t now)
 {
 	struct registry_row *row = g_hash_table_lookup(r->rows, info->id);
-	bool same;
+	bool same, same_incarnation =
+			   row && row->info->incarnation == info->incarnation;
 
-	if (row && !is_newer(info, row->info))
-		return REGISTRY_IGNORED;
-	if (row && row->left && row->info->incarnation == info->incarnation)
+	if (row && !is_newer(info, row->info)) {
+		if (!says_leaving_first(row, info))
+			return REGISTRY_IGNORED;
+		/* An older announcement, but its flag holds for all of them. */
+		set_said_leaving(row->info);
+		notify(r, row);
+		return REGISTRY_CHANGED;
+	}
+	if (same_incarnation && row->left)
 		return REGISTRY_IGNORED;
 	if (address_owned_by_newer(r, info))
 		return REGISTRY_IGNORED;
-	same = row && same_content(info, row->info);
+	Mw__EndpointInfo *copy = copy_info(info);
+	if (copy->said_leaving || (same_incarnation && row->info->said_leaving))
+		set_said_leaving(copy);
+	same = row && same_content(copy, row->info);
 	if (row)
 		g_hash_table_remove(r->rows, info->id);
 	row = g_new0(struct registry_row, 1);
-	row->info = copy_info(info);
+	row->info = copy;
 	row->received_us = now;
 	row->left = info->leave_deadline_ms == REGISTRY_LEFT_DEADLINE_MS;
 	g_hash_table_insert(r->rows, row->info->id, row);
@@ -166,6 +191,32 @@
 	return row;
 }
 
+const struct registry_row *registry_mark_leaving(struct registry *r,
+						 const char *id,
+						 uint64_t incarnation,
+						 int64_t now)
+{
+	struct registry_row *row = g_hash_table_lookup(r->rows, id);
+
+	if (!row || row->left || row->info->said_leaving ||
+	    row->info->incarnation != incarnation)
+		return NULL;
+	set_said_leaving(row->info);
+	row->received_us = now;
+	notify(r, row);
+	return row;
+}
+
+bool registry_contradicts(const struct registry *r,
+			  const Mw__EndpointInfo *info)
+{
+	const struct registry_row *row = g_hash_table_lookup(r->rows, info->id);
+
+	return row && row->info->incarnation == info->incarnation &&
+	       !row->replaced && (row->left || row->info->said_leaving) &&
+	       !strcmp(info->state, REGISTRY_SERVING);
+}
+
 const struct registry_row *registry_find(const struct registry *r,
 					 const char *id)
 {
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -14,8 +14,9 @@
  * rows are equal.
  *
  * A row is newer if its incarnation is higher, or equal with a higher seq.  An
- * incarnation that has left does not come back.  An address belongs to the
- * highest incarnation that announced it.
+ * incarnation that has left does not come back, and one whose answers said that
+ * it leaves does not serve again, whatever it announces.  An address belongs to
+ * the highest incarnation that announced it.
  *
  * A row outlives its endpoint's announcements by REGISTRY_EXPIRY_US: an
  * endpoint that has lost its connection to the control processes may still
@@ -65,6 +66,24 @@
 const struct registry_row *registry_mark_left(struct registry *r,
 					      const char *id, int64_t now);
 
+/*
+ * Marks an endpoint as leaving because an answer of this incarnation said so.
+ * Returns the row to send to the other processes, valid until the next change
+ * of the registry, or NULL if this changes nothing.
+ */
+const struct registry_row *registry_mark_leaving(struct registry *r,
+						 const char *id,
+						 uint64_t incarnation,
+						 int64_t now);
+
+/*
+ * Whether info, received from another process, offers an endpoint as serving
+ * that this registry knows to leave or to have left.  The sender has lost that,
+ * by a restart, and is to get the stored row.
+ */
+bool registry_contradicts(const struct registry *r,
+			  const Mw__EndpointInfo *info);
+
 /* Returns NULL if the id is unknown. */
 const struct registry_row *registry_find(const struct registry *r,
 					 const char *id);
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -8811,7 +8811,7 @@
   (ProtobufCMessageInit) mw__hub_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__endpoint_info__field_descriptors[20] =
+static const ProtobufCFieldDescriptor mw__endpoint_info__field_descriptors[21] =
 {
   {
     "id",
@@ -9053,6 +9053,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "said_leaving",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mw__EndpointInfo, said_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__endpoint_info__field_indices_by_name[] = {
   8,   /* field[8] = adapters */
@@ -9071,6 +9083,7 @@
   7,   /* field[7] = models */
   9,   /* field[9] = role */
   13,   /* field[13] = running */
+  20,   /* field[20] = said_leaving */
   2,   /* field[2] = seq */
   6,   /* field[6] = state */
   16,   /* field[16] = version */
@@ -9079,7 +9092,7 @@
 static const ProtobufCIntRange mw__endpoint_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor mw__endpoint_info__descriptor =
 {
@@ -9089,7 +9102,7 @@
   "Mw__EndpointInfo",
   "mw",
   sizeof(Mw__EndpointInfo),
-  20,
+  21,
   mw__endpoint_info__field_descriptors,
   mw__endpoint_info__field_indices_by_name,
   1,  mw__endpoint_info__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1429,10 +1429,14 @@
    * time left for which it is slow after its start
    */
   uint32_t cold_ms;
+  /*
+   * an answer of it said that it leaves; see policy/registry.h
+   */
+  protobuf_c_boolean said_leaving;
 };
 #define MW__ENDPOINT_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__endpoint_info__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -77,6 +77,58 @@
 }
 END_TEST
 
+/* Guards against an endpoint that serves again although its answers said that
+ * it leaves, in whichever order the rows arrive, and against a new incarnation
+ * that is taken for it. */
+START_TEST(test_said_leaving)
+{
+	struct registry *r = registry_new(), *peer = registry_new();
+	Mw__EndpointInfo serving = new_info("e", 5, 9, "h:1", "serving");
+
+	ck_assert_ptr_null(registry_mark_leaving(r, "e", 5, 0));
+	merge(r, "e", 5, 3, "h:1", "serving");
+	ck_assert_ptr_null(registry_mark_leaving(r, "e", 4, 0));
+	const struct registry_row *row = registry_mark_leaving(r, "e", 5, 0);
+	ck_assert_str_eq(row->info->state, "leaving");
+	ck_assert(!row->left);
+	ck_assert_ptr_null(registry_mark_leaving(r, "e", 5, 0));
+
+	/* A registry with a later announcement takes the flag over. */
+	ck_assert_int_eq(registry_merge(peer, &serving, 0), REGISTRY_CHANGED);
+	ck_assert_int_eq(registry_merge(peer, row->info, 0), REGISTRY_CHANGED);
+	ck_assert_int_eq(registry_merge(peer, row->info, 0), REGISTRY_IGNORED);
+	ck_assert_str_eq(registry_find(peer, "e")->info->state, "leaving");
+	ck_assert_uint_eq(registry_find(peer, "e")->info->seq, 9);
+
+	ck_assert_int_eq(registry_merge(r, &serving, 0), REGISTRY_REFRESHED);
+	ck_assert_str_eq(registry_find(r, "e")->info->state, "leaving");
+	ck_assert(registry_contradicts(r, &serving));
+	merge(r, "e", 6, 1, "h:1", "serving");
+	ck_assert_str_eq(registry_find(r, "e")->info->state, "serving");
+	ck_assert(!registry_contradicts(r, &serving));
+	registry_free(peer);
+	registry_free(r);
+}
+END_TEST
+
+/* Guards against a process that offers, after its restart, an endpoint that has
+ * left. */
+START_TEST(test_contradicts)
+{
+	struct registry *r = registry_new();
+	Mw__EndpointInfo late = new_info("e", 5, 2, "h:1", "serving");
+
+	ck_assert(!registry_contradicts(r, &late));
+	merge(r, "e", 5, 1, "h:1", "serving");
+	ck_assert(!registry_contradicts(r, &late));
+	registry_mark_left(r, "e", 0);
+	ck_assert(registry_contradicts(r, &late));
+	late.state = (char *)"leaving";
+	ck_assert(!registry_contradicts(r, &late));
+	registry_free(r);
+}
+END_TEST
+
 /* Guards against requests to an endpoint whose address was reused. */
 START_TEST(test_address)
 {
@@ -149,9 +201,10 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {test_order, test_leave, test_address,
-				      test_watch_sees_replaced_owner,
-				      test_expiry};
+	const TTest *const tests[] = {
+		test_order,	  test_leave,	test_said_leaving,
+		test_contradicts, test_address, test_watch_sees_replaced_owner,
+		test_expiry};
 
 	return check_main("registry", tests, sizeof(tests) / sizeof(*tests));
 }
