--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -47,8 +47,11 @@
 	if (inet_pton(AF_INET, out->ip, &a4) != 1 &&
 	    inet_pton(AF_INET6, out->ip, &a6) != 1)
 		return -MW_EINVAL;
+	/* strtoul() would skip white space and a sign. */
+	if (!g_ascii_isdigit(colon[1]))
+		return -MW_EINVAL;
 	unsigned long port = strtoul(colon + 1, &end, 10);
-	if (!colon[1] || *end || port == 0 || port > 65535)
+	if (*end || port == 0 || port > 65535)
 		return -MW_EINVAL;
 	out->port = (uint16_t)port;
 	return 0;
