httpd, forward: Answer all requests that have arrived when a host stops

Cause: three ways in which a planned stop cut requests off. Connections in the backlog were reset when the listening socket was closed. A connection was closed as idle although a request lay unread in it. The process ended when no request was open, while an answer was not yet passed to the socket.

Change: httpd_quiesce() closes the socket after it has accepted what waits, httpd_close_idle() spares connections with unread bytes, httpd_free() sends complete answers, and the host ends when all connections have ended, at the drain timeout at the latest.

Measured: the three new tests of test_httpd fail with the old httpd.c and pass now.

--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -70,8 +70,12 @@
 	httpd_reply(http, 200, h, buf_head(&b), buf_unread(&b));
 }
 
-/* Ends the event loop when no request is open any more, or at the drain
- * timeout, after which the process may be killed. */
+/*
+ * Ends the event loop when all connections of callers have ended, or at the
+ * drain timeout, after which the process may be killed.  A request may still
+ * arrive on any open connection, and an answer is complete only when its caller
+ * has got it.
+ */
 static void drain_tick(struct fwd *f, int64_t now)
 {
 	int64_t elapsed_us = now - f->drain_start_us;
@@ -81,12 +85,10 @@
 		if (!f->quiesced)
 			httpd_quiesce(f->caller_httpd);
 		f->quiesced = true;
-		/* Each time, as more connections have become idle elapsed_us.
-		 */
+		/* Each time, as more connections have become idle. */
 		httpd_close_idle(f->caller_httpd);
 	}
-	if (elapsed_us < limit_us &&
-	    (f->n_requests || elapsed_us < MIN(UNREADY_MIN_US, limit_us)))
+	if (elapsed_us < limit_us && !httpd_is_drained(f->caller_httpd))
 		return;
 	struct slog l = slog_begin("stop");
 	slog_int(&l, "open", (int64_t)f->n_requests);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -4,6 +4,7 @@
 #include <assert.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,6 +39,12 @@
 #define DEFAULT_MAX_CONNS 4096
 #define DEFAULT_IDLE_TIMEOUT_S 120
 #define LISTEN_BACKLOG 1024
+/* Runs of libmicrohttpd in which a stop accepts the connections that wait; more
+ * than a full backlog needs. */
+#define ACCEPT_ROUNDS_MAX (2 * LISTEN_BACKLOG)
+/* Runs in which httpd_free() passes an answer on: one queues it, one sends it.
+ */
+#define FLUSH_ROUNDS 3
 /* libmicrohttpd uses this buffer only for HTTP/1.0 clients. */
 #define STREAM_BLOCK_BYTES 1024
 
@@ -54,7 +61,10 @@
 	struct list conns; /* tcp_conn.link */
 	int open_requests; /* requests not completed */
 	int port;
-	int run_due; /* MHD_run() is to be called before the loop polls */
+	int listen_fd;	   /* -1: closed */
+	int run_due;	   /* MHD_run() is to be called before the loop polls */
+	bool quiescing;	   /* accepts what waits, then stops listening */
+	int accept_rounds; /* of quiescing */
 };
 
 struct tcp_conn {
@@ -377,6 +387,24 @@
 	schedule_run(w->data);
 }
 
+/* MHD_run() accepts only a few connections at a time. */
+static void stop_listening(struct httpd *h)
+{
+	struct pollfd p = {.fd = h->listen_fd, .events = POLLIN};
+
+	if (poll(&p, 1, 0) > 0 && (p.revents & POLLIN) &&
+	    h->accept_rounds++ < ACCEPT_ROUNDS_MAX) {
+		h->run_due = 1;
+		return;
+	}
+	h->quiescing = false;
+	h->listen_fd = -1;
+	int fd = MHD_quiesce_daemon(h->mhd);
+	if (fd >= 0)
+		close(fd);
+	h->run_due = 1;
+}
+
 static void on_prepare(EV_P_ ev_prepare *w, int revents)
 {
 	struct httpd *h = w->data;
@@ -387,6 +415,8 @@
 		return;
 	h->run_due = 0;
 	MHD_run(h->mhd);
+	if (h->quiescing)
+		stop_listening(h);
 	ev_timer_stop(EV_A_ & h->timer);
 	/* A state change by a callback in MHD_run() needs another run. */
 	if (h->run_due)
@@ -453,6 +483,7 @@
 	h->handler = handler;
 	h->ctx = ctx;
 	h->port = port;
+	h->listen_fd = fd;
 	list_init(&h->reqs);
 	list_init(&h->conns);
 	h->mhd = MHD_start_daemon(
@@ -486,19 +517,28 @@
 
 void httpd_quiesce(struct httpd *h)
 {
-	int fd = MHD_quiesce_daemon(h->mhd);
-
-	if (fd >= 0)
-		close(fd);
+	h->quiescing = h->listen_fd >= 0;
 	schedule_run(h);
 }
 
+bool httpd_is_drained(const struct httpd *h)
+{
+	return h->listen_fd < 0 && list_empty(&h->conns);
+}
+
+static bool has_unread_bytes(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void httpd_close_idle(struct httpd *h)
 {
 	struct tcp_conn *tcp;
 
 	list_for_each_entry (tcp, &h->conns, link)
-		if (!tcp->open_requests)
+		if (!tcp->open_requests && !has_unread_bytes(tcp->fd))
 			shutdown(tcp->fd, SHUT_RDWR);
 	schedule_run(h);
 }
@@ -513,10 +553,12 @@
 	 */
 	list_for_each_safe (pos, tmp, &h->reqs) {
 		struct httpd_req *req = list_entry(pos, struct httpd_req, link);
-		req_mark_closed(req);
+		if (req->state != REQ_REPLIED && req->state != REQ_ENDED)
+			req_mark_closed(req);
 		req_resume(req);
 	}
-	MHD_run(h->mhd);
+	for (int i = 0; i < FLUSH_ROUNDS; i++)
+		MHD_run(h->mhd);
 	ev_io_stop(h->loop, &h->epoll_watch);
 	ev_timer_stop(h->loop, &h->timer);
 	ev_prepare_stop(h->loop, &h->prepare);
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTPD_H
 #define NET_HTTPD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <sys/types.h>
@@ -58,16 +59,26 @@
 	      const struct httpd_config *cfg, httpd_handler *handler, void *ctx,
 	      struct httpd **out);
 
-/* Stops listening; open connections stay in use. */
+/*
+ * Stops listening, after the loop has accepted the connections that were made
+ * before; open connections stay in use.
+ */
 void httpd_quiesce(struct httpd *h);
 
 /*
- * Closes the connections without an open request.  A request that arrives at
- * the same time is not read, so its sender may send it again.
+ * Closes the connections without an open request and without unread bytes.  A
+ * request that arrives at the same time is not read, so its sender may send it
+ * again.
  */
 void httpd_close_idle(struct httpd *h);
 
-/* Closes all connections; calls `closed` for requests still owned. */
+/* Whether the server no longer listens and all connections have ended. */
+bool httpd_is_drained(const struct httpd *h);
+
+/*
+ * Closes all connections; calls `closed` for requests still owned.  Sends what
+ * the sockets take of answers that are complete.
+ */
 void httpd_free(struct httpd *h);
 
 /* The port that the server listens on. */
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -2,6 +2,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <ev.h>
 
 #include "base/buf.h"
@@ -260,6 +263,103 @@
 }
 END_TEST
 
+/* Connects to the server without running the loop. */
+static int connect_raw(void)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET,
+				 .sin_port =
+					 htons((uint16_t)httpd_port(server)),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+static void send_raw(int fd, const char *path)
+{
+	char text[128];
+	int n = snprintf(text, sizeof(text),
+			 "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+
+	ck_assert_int_eq(write(fd, text, (size_t)n), n);
+}
+
+/* Reads what has arrived of an answer; its status, 0: none. */
+static int answer_status(int fd)
+{
+	char text[256] = "";
+	int status = 0;
+
+	if (recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT) > 0)
+		sscanf(text, "HTTP/1.1 %d", &status);
+	return status;
+}
+
+/* Guards against a planned stop that cuts requests off which have arrived on
+ * connections that are not accepted yet. */
+START_TEST(test_quiesce_accepts_backlog)
+{
+	int fds[20], status;
+
+	for (int i = 0; i < 20; i++) {
+		fds[i] = connect_raw();
+		send_raw(fds[i], "/echo%20x?q=a+b");
+	}
+	httpd_quiesce(server);
+	for (int i = 0; i < 20; i++) {
+		RUN_UNTIL((status = answer_status(fds[i])) != 0);
+		ck_assert_int_eq(status, 201);
+	}
+	ck_assert(!httpd_is_drained(server));
+	for (int i = 0; i < 20; i++)
+		close(fds[i]);
+	RUN_UNTIL(httpd_is_drained(server));
+}
+END_TEST
+
+/* Guards against a planned stop that closes a connection on which a request
+ * has arrived and is not read yet. */
+START_TEST(test_close_idle_spares_unread)
+{
+	int fd = connect_raw(), idle = connect_raw(), status;
+
+	for (int i = 0; i < 2; i++) {
+		send_raw(fd, "/echo%20x?q=a+b");
+		if (i) {
+			httpd_quiesce(server);
+			httpd_close_idle(server);
+		}
+		RUN_UNTIL((status = answer_status(fd)) != 0);
+		ck_assert_int_eq(status, 201);
+	}
+	httpd_close_idle(server);
+	RUN_UNTIL(httpd_is_drained(server));
+	ck_assert_int_eq(recv(idle, &status, 1, MSG_DONTWAIT), 0);
+	close(fd);
+	close(idle);
+}
+END_TEST
+
+/* Guards against an answer that is lost as the process ends after giving it. */
+START_TEST(test_free_sends_replies)
+{
+	int fd = connect_raw(), status;
+
+	send_raw(fd, "/hold");
+	RUN_UNTIL(open_req);
+	httpd_reply(open_req, 204, NULL, "", 0);
+	httpd_free(server);
+	status = answer_status(fd);
+	ck_assert_int_eq(status, 204);
+	ck_assert_int_eq(closed, 0);
+	close(fd);
+	ck_assert_int_eq(
+		httpd_new(loop, "127.0.0.1", 0, NULL, handle, NULL, &server),
+		0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("httpd");
@@ -273,6 +373,9 @@
 	tcase_add_test(tc, test_backpressure);
 	tcase_add_test(tc, test_closed_by_client);
 	tcase_add_test(tc, test_abort);
+	tcase_add_test(tc, test_quiesce_accepts_backlog);
+	tcase_add_test(tc, test_close_idle_spares_unread);
+	tcase_add_test(tc, test_free_sends_replies);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
 	srunner_run_all(sr, CK_ENV);
