control: Hand out the tree only after a leader has told what is committed

Change: rep_is_caught_up() tells whether this voter has, since its start, committed what a leader of the present term had committed. Until then hosts get no document and answer 503, as before their first plan.

--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -87,6 +87,8 @@
 	struct rep *rep;
 	struct sm *sm;
 	uint64_t applied;
+	bool caught_up; /* has applied, since its start, all that a leader had
+			   committed; before, no host gets its tree */
 	/* Slot: version % CTL_VERSIONS_KEPT. */
 	struct tree *versions[CTL_VERSIONS_KEPT];
 	struct {
--- a/src/control/ctl_document.c
+++ b/src/control/ctl_document.c
@@ -250,8 +250,9 @@
 	Mw__Frame reply = MW__FRAME__INIT;
 	Mw__DocumentText doc = MW__DOCUMENT_TEXT__INIT;
 
-	doc.version = tree_version(sm_tree(c->sm));
-	doc.revision = current_revision(c, get->name);
+	/* Version 0 is older than any that the host has: it asks again. */
+	doc.version = c->caught_up ? tree_version(sm_tree(c->sm)) : 0;
+	doc.revision = c->caught_up ? current_revision(c, get->name) : 0;
 	if (doc.revision > get->have &&
 	    compress_document(c, get->name, doc.revision)) {
 		doc.text_z.data = c->compressed_document.text;
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -80,6 +80,8 @@
 	Mw__Frame frame = MW__FRAME__INIT;
 	Mw__TreeNews news = MW__TREE_NEWS__INIT;
 
+	if (!f->ctl->caught_up)
+		return;
 	news.version = tree_version(sm_tree(f->ctl->sm));
 	frame.body_case = MW__FRAME__BODY_TREE_NEWS;
 	frame.tree_news = &news;
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -10,6 +10,7 @@
 #include "control/ctl_feed.h"
 #include "control/ctl_status.h"
 #include "obs/counter.h"
+#include "obs/slog.h"
 #include "rep/rep_wire.h"
 
 /*
@@ -271,6 +272,15 @@
 	}
 	if (!c->exit_error)
 		snapshot_if_due(c);
+	if (c->caught_up || c->exit_error || !rep_is_caught_up(c->rep) ||
+	    c->applied < rep_commit_index(c->rep))
+		return;
+	c->caught_up = true;
+	struct slog l = slog_begin("caught_up");
+	slog_int(&l, "applied", (int64_t)c->applied);
+	slog_int(&l, "tree_version", (int64_t)tree_version(sm_tree(c->sm)));
+	slog_end(&l);
+	ctl_feed_tree_changed(c->feed);
 }
 
 void ctl_propose(struct ctl *c, Mw__Command *cmd, ctl_result_fn fn, void *ctx)
--- a/src/rep/rep.c
+++ b/src/rep/rep.c
@@ -459,6 +459,11 @@
 	return r->role == REP_LEADER && r->commit >= r->noop_index;
 }
 
+bool rep_is_caught_up(const struct rep *r)
+{
+	return r->caught_up || rep_leader_ready(r);
+}
+
 void rep_request_confirmation(struct rep *r, int64_t now)
 {
 	r->now = now;
--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -325,6 +325,13 @@
  */
 bool rep_leader_ready(const struct rep *r);
 
+/*
+ * This voter has once, since its start, committed all that a leader had
+ * committed.  Before that its state is the one of its disk, which may lack any
+ * number of entries.
+ */
+bool rep_is_caught_up(const struct rep *r);
+
 /*
  * The leader lease: while it is valid, no other voter can be elected.
  * rep_lease_until returns its end on the clock of this host, 0 if there is no
--- a/src/rep/rep_append.c
+++ b/src/rep/rep_append.c
@@ -266,6 +266,10 @@
 	}
 	r->leader_match = MAX(r->leader_match, last);
 	rep_set_commit(r, MIN(m->commit, r->leader_match));
+	/* A leader without a committed entry of its term may lack some that are
+	 * committed, too. */
+	r->caught_up |=
+		r->commit >= m->commit && rep_term_at(r, m->commit) == m->term;
 	if (added)
 		r->pending_ack_us = MAX(r->pending_ack_us, m->sent_us);
 	else
--- a/src/rep/rep_int.h
+++ b/src/rep/rep_int.h
@@ -81,6 +81,7 @@
 	/* follower */
 	uint32_t lost_ids[REP_MAX_VOTERS]; /* voters whose disk is lost */
 	uint32_t n_lost_ids;
+	bool caught_up; /* see rep_is_caught_up() */
 	/* No message from a leader, and not elected, since the start. */
 	bool no_leader_since_start;
 	bool startup_round;	  /* the current round is a startup round */
