crashes, vouch: Take no planned end for a crash; vouch for parts served elsewhere

Six hosts know such a part as sound, as each serves it all the time; of 300 hosts each serves it once in some seconds, so two ends 150 ms apart were enough to refuse it for a moment, on all hosts at once.

Change: the end of an endpoint that has said it leaves is no evidence. For crashes without notice, a host that has served a suspected part lately vouches for it: all hosts clear what they counted, sooner than a second crash can count.

--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -162,6 +162,8 @@
 
 /* ---- crash marks ---- */
 
+static struct peer *choose_report_peer(struct fwd *f, int64_t now);
+
 int control_link_propose(struct fwd *f, Mw__Command *cmd, int timeout_ms,
 			 void (*done)(int err, const Mw__Frame *reply,
 				      void *ctx),
@@ -189,6 +191,17 @@
 			peer_send(p, &frame);
 }
 
+void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	struct peer *p = choose_report_peer(f, clock_mono_us());
+
+	frame.body_case = MW__FRAME__BODY_CRASH_MARK;
+	frame.crash_mark = mark;
+	if (p)
+		peer_send(p, &frame);
+}
+
 /* ---- endpoints ---- */
 
 static void send_endpoint(struct peer *p, Mw__EndpointInfo *info)
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -10,6 +10,7 @@
 #include "obs/counter.h"
 #include "obs/slog.h"
 #include "policy/blame.h"
+#include "policy/vouch.h"
 
 /* Time for the endpoint to accept a connection; the longest round trip is
  * 24 ms. */
@@ -50,6 +51,7 @@
 	uint64_t log_version;	  /* of the last marks of the log */
 	uint64_t checked_version; /* of `blame`, when attempts were checked */
 	struct list probes;
+	struct vouch *vouch;
 	struct crash_reports *reports;
 };
 
@@ -253,7 +255,8 @@
 	struct probe *p;
 	struct traits t;
 
-	if (!ep || ep->incarnation != r->incarnation ||
+	/* One that has said it leaves ends as planned, whatever it runs. */
+	if (!ep || ep->incarnation != r->incarnation || ep->leaves ||
 	    r->events >= CRASHES_SERVED_EVENTS)
 		return;
 	p = probe_find(r->fwd, r);
@@ -291,11 +294,44 @@
 
 void crashes_handle_mark(struct fwd *f, const Mw__CrashMark *mark, int64_t now)
 {
-	for (size_t i = 0; i < mark->n_suspects; i++)
-		blame_record_crash(f->crashes->blame,
-				   mark->suspects[i]->fingerprint,
-				   mark->endpoint, mark->endpoint_incarnation,
-				   clock_wall_us() / USEC_PER_MSEC, now);
+	struct crashes *c = f->crashes;
+
+	for (size_t i = 0; i < mark->n_served; i++) {
+		blame_clear(c->blame, mark->served[i]);
+		vouch_heard(c->vouch, mark->served[i], now);
+	}
+	for (size_t i = 0; i < mark->n_suspects; i++) {
+		const char *trait = mark->suspects[i]->fingerprint;
+
+		if (blame_was_served(c->blame, trait, now))
+			vouch_consider(c->vouch, trait, g_rand_double(f->rand),
+				       now);
+		else
+			blame_record_crash(c->blame, trait, mark->endpoint,
+					   mark->endpoint_incarnation,
+					   clock_wall_us() / USEC_PER_MSEC,
+					   now);
+	}
+}
+
+/* Vouches for the traits that are due, in one notice. */
+static void send_vouched(struct fwd *f, int64_t now)
+{
+	g_autoptr(GPtrArray) served = g_ptr_array_new_with_free_func(g_free);
+	Mw__CrashMark mark = MW__CRASH_MARK__INIT;
+	const char *trait;
+
+	while ((trait = vouch_next(f->crashes->vouch, now)))
+		g_ptr_array_add(served, g_strdup(trait));
+	if (!served->len)
+		return;
+	mark.served = (char **)served->pdata;
+	mark.n_served = served->len;
+	control_link_send_vouch(f, &mark);
+	struct slog l = slog_begin("vouch");
+	slog_int(&l, "traits", (int64_t)served->len);
+	slog_str(&l, "first", served->pdata[0]);
+	slog_end(&l);
 }
 
 /* Hosts with leases write marks without a prefix to the same log. */
@@ -368,6 +404,7 @@
 		end_blamed_attempts(f, now);
 	}
 	retry_probes(f, now);
+	send_vouched(f, now);
 	crash_reports_tick(f->crashes->reports, f->crashes->blame, now);
 }
 
@@ -375,6 +412,7 @@
 {
 	f->crashes = g_new0(struct crashes, 1);
 	f->crashes->blame = blame_new(0);
+	f->crashes->vouch = vouch_new(0);
 	list_init(&f->crashes->probes);
 	f->crashes->reports = crash_reports_new(f);
 }
@@ -386,6 +424,7 @@
 	while (!list_empty(&c->probes))
 		probe_free(list_first(&c->probes, struct probe, node));
 	crash_reports_free(c->reports);
+	vouch_free(c->vouch);
 	blame_free(c->blame);
 	g_free(c);
 }
--- a/src/forward/crashes.h
+++ b/src/forward/crashes.h
@@ -11,7 +11,9 @@
  * once more.  If the connection is refused, the endpoint has crashed, as it has
  * if another one has announced its address, and the request's traits are its
  * suspects.  The host sends them to all connected
- * control processes, which forward them to all hosts, and proposes them to the
+ * control processes, which forward them to all hosts.  A host that has served
+ * one of these traits lately vouches for it in the same way (policy/vouch.h).
+ * The host also proposes the suspects to the
  * replicated log until they are committed.  A host that connects to a control
  * process gets the marks of the log, so that hosts that were frozen, cut off or
  * not started yet also learn them.
@@ -32,7 +34,8 @@
  * blame_refuses(). */
 unsigned int crashes_blamed(struct request *r, const char **trait);
 
-/* Suspects of a crash that another host has seen. */
+/* Suspects of a crash that another host has seen, or traits that it vouches
+ * for. */
 void crashes_handle_mark(struct fwd *f, const Mw__CrashMark *mark, int64_t now);
 /* Marks of the log; an older version than the last one is ignored. */
 void crashes_handle_log(struct fwd *f, const Mw__CrashMarks *msg, int64_t now);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -108,6 +108,7 @@
 	ep->slots = info->max_batch;
 	ep->has_left = row->left;
 	ep->is_replaced = row->replaced;
+	ep->leaves = !strcmp(info->state, REGISTRY_LEAVING);
 	bool serving = !row->left && !strcmp(info->state, REGISTRY_SERVING);
 	if (serving == ep->serving)
 		return;
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -56,6 +56,7 @@
 	uint64_t incarnation;
 	unsigned int slots; /* requests that it runs at the same time */
 	bool serving;
+	bool leaves;	  /* it has said so, or has left */
 	bool has_left;	  /* another endpoint may have the address by now */
 	bool is_replaced; /* another endpoint has announced the address */
 	bool is_gone;	  /* another endpoint answers at the address */
@@ -189,6 +190,10 @@
 void control_link_send_endpoint(struct fwd *f, Mw__EndpointInfo *info);
 /* Sends a crash mark to all connected control processes. */
 void control_link_send_crash_mark(struct fwd *f, Mw__CrashMark *mark);
+/* Sends traits that this host vouches for to one control process, which
+ * forwards them; crashes that are not cleared are cleared after the next one.
+ */
+void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark);
 
 /* ---- plan_parse.c ---- */
 void plan_parse_init(struct fwd *f);
--- a/src/policy/blame.c
+++ b/src/policy/blame.c
@@ -195,6 +195,21 @@
 	return false;
 }
 
+bool blame_was_served(struct blame *b, const char *trait, int64_t now)
+{
+	return is_sound(b, trait, now);
+}
+
+void blame_clear(struct blame *b, const char *trait)
+{
+	struct mark *m = g_hash_table_lookup(b->marks, trait);
+
+	for (unsigned int i = 0; m && i < m->n; i++) {
+		b->version += !m->crashes[i].cleared;
+		m->crashes[i].cleared = true;
+	}
+}
+
 bool blame_record_success(struct blame *b, const char *trait, int64_t now)
 {
 	struct mark *m = g_hash_table_lookup(b->marks, trait);
@@ -204,10 +219,7 @@
 		g_hash_table_add(b->sound, g_strdup(trait));
 	if (!m)
 		return false;
-	for (unsigned int i = 0; i < m->n; i++) {
-		b->version += !m->crashes[i].cleared;
-		m->crashes[i].cleared = true;
-	}
+	blame_clear(b, trait);
 	if (!mark_is_in_log(m) ||
 	    (m->clear_us && now - m->clear_us < CLEAR_INTERVAL_US))
 		return false;
--- a/src/policy/blame.h
+++ b/src/policy/blame.h
@@ -65,6 +65,15 @@
  */
 bool blame_record_success(struct blame *b, const char *trait, int64_t now);
 
+/* Whether a request with the trait was served here lately. */
+bool blame_was_served(struct blame *b, const char *trait, int64_t now);
+
+/*
+ * Clears the crashes that are recorded against the trait: another host has
+ * served it.  Later crashes count.
+ */
+void blame_clear(struct blame *b, const char *trait);
+
 /*
  * Enclose the blame_add_from_log() calls for one snapshot of the log.  Crashes
  * that are neither in it nor on their way to the log are dropped.
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -5101,7 +5101,7 @@
   (ProtobufCMessageInit) mw__order_done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__crash_mark__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mw__crash_mark__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -5139,16 +5139,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mw__CrashMark, n_served),
+    offsetof(Mw__CrashMark, served),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__crash_mark__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   1,   /* field[1] = endpoint_incarnation */
+  3,   /* field[3] = served */
   2,   /* field[2] = suspects */
 };
 static const ProtobufCIntRange mw__crash_mark__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mw__crash_mark__descriptor =
 {
@@ -5158,7 +5171,7 @@
   "Mw__CrashMark",
   "mw",
   sizeof(Mw__CrashMark),
-  3,
+  4,
   mw__crash_mark__field_descriptors,
   mw__crash_mark__field_indices_by_name,
   1,  mw__crash_mark__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -522,10 +522,15 @@
   uint64_t endpoint_incarnation;
   size_t n_suspects;
   Mw__SuspectInfo **suspects;
+  /*
+   * traits that the sender vouches for (policy/vouch.h);
+   */
+  size_t n_served;
+  char **served;
 };
 #define MW__CRASH_MARK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__crash_mark__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 struct  Mw__SuspectInfo
