entry: Send each service call on a connection of its own

Cause: GETs and repeatable calls of the product's own interface reused kept connections. A service that sends an answer once more, after the next request was sent, answered the next caller with it; service answers carry no id by which this could be told.

Measured: stale.sh, every other caller got the answer of the one before; each gets its own now. The platform's hosts have always used a connection for each request.

--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -256,7 +256,9 @@
 		.body_len = c->body_len,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.timeout_ms = (int)MAX(left_ms, 1),
-		.flags = c->repeatable ? FETCH_REPEATABLE : 0,
+		/* On a kept connection the service may still send a second copy
+		 * of another caller's answer, which bears no mark of its own. */
+		.flags = FETCH_NEW_CONNECTION,
 	};
 	entry_event(e, EV_KIND_DISPATCHED, c->id, c->account, c->endpoint,
 		    "%s %s", c->method, c->service);
