policy, entry: Heed Retry-After of endpoints in the product's own interface

Retry-After of a 503 or 429 to a generation or a service call begins a pause of the endpoint for this host, by the same code as on the users' platform, which moves to policy/pause. Dates and other texts are refused with an event.

When all endpoints are paused, generations wait in the queue as before.

--- a/src/control/ctl_poll.c
+++ b/src/control/ctl_poll.c
@@ -8,7 +8,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_feed.h"
-#include "forward/pause.h"
+#include "policy/pause.h"
 #include "iface/iface.h"
 #include "obs/slog.h"
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -280,6 +280,12 @@
 		 int64_t now);
 void view_mark_leaving(struct entry *e, const char *id, uint64_t incarnation,
 		       int64_t now);
+/*
+ * Applies the status and the value of Retry-After (NULL: none) of an answer:
+ * an endpoint that turned a request away may ask this host for a pause.
+ */
+void view_apply_pause(struct entry *e, const char *id, uint64_t incarnation,
+		      int status, const char *retry_after, int64_t now);
 /*
  * Puts an incarnation of an endpoint that refuses connections into the state
  * "suspect", without new work for a time.  Its requests fail through their own
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -110,6 +110,8 @@
 	const char *type = fetch_header(f, "Content-Type");
 
 	c->status = status;
+	view_apply_pause(c->entry, c->endpoint, c->incarnation, status,
+			 fetch_header(f, "Retry-After"), clock_mono_us());
 	g_free(c->answer_type);
 	c->answer_type = g_strdup(type);
 }
@@ -257,7 +259,8 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.timeout_ms = (int)MAX(left_ms, 1),
 		/* On a kept connection the service may still send a second copy
-		 * of another caller's answer, which bears no mark of its own. */
+		 * of another caller's answer, which bears no mark of its own.
+		 */
 		.flags = FETCH_NEW_CONNECTION,
 	};
 	entry_event(e, EV_KIND_DISPATCHED, c->id, c->account, c->endpoint,
--- a/src/entry/stream.c
+++ b/src/entry/stream.c
@@ -113,6 +113,8 @@
 
 	r->status = status;
 	r->not_run = fetch_header(f, "X-Not-Run") != NULL;
+	view_apply_pause(r->entry, r->endpoint, r->incarnation, status,
+			 fetch_header(f, "Retry-After"), clock_mono_us());
 	if (status != 200)
 		return;
 	r->reader = reader ? g_ascii_strtoull(reader, NULL, 10) : 0;
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -8,6 +8,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "obs/stats.h"
+#include "policy/pause.h"
 
 /*
  * Table of the endpoints that this host knows, from the hub's registry, from
@@ -270,6 +271,27 @@
 					 now);
 }
 
+void view_apply_pause(struct entry *e, const char *id, uint64_t incarnation,
+		      int status, const char *retry_after, int64_t now)
+{
+	struct endpoint *ep = view_find(e, id);
+	struct route_ep *route_ep = route_find_endpoint(e->route, id);
+	int64_t asked_us;
+
+	if ((status != 503 && status != 429) || !retry_after || !ep ||
+	    ep->incarnation != incarnation || !route_ep)
+		return;
+	if (!pause_parse(retry_after, &asked_us)) {
+		entry_event(e, EV_KIND_ENDPOINT_STATE, NULL, NULL, id,
+			    "unreadable Retry-After with status %d", status);
+		return;
+	}
+	route_pause(route_ep, asked_us, now);
+	entry_event(e, EV_KIND_ENDPOINT_STATE, NULL, NULL, id,
+		    "status %d, no new work for %" PRId64 " ms", status,
+		    asked_us / USEC_PER_MSEC);
+}
+
 void view_mark_unreachable(struct entry *e, const char *id,
 			   uint64_t incarnation, int64_t now)
 {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -11,7 +11,7 @@
 #include "conf/conf.h"
 #include "forward/budget.h"
 #include "forward/health.h"
-#include "forward/pause.h"
+#include "policy/pause.h"
 #include "forward/plan.h"
 #include "forward/quota.h"
 #include "forward/rate.h"
--- a/src/forward/pause.c
+++ b/src/policy/pause.c
@@ -1,7 +1,20 @@
-#include "forward/pause.h"
+#include "policy/pause.h"
 
 #include <glib.h>
 
+bool pause_parse(const char *text, int64_t *us)
+{
+	char *end;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	double s = g_ascii_strtod(text, &end);
+	if (*end)
+		return false;
+	*us = (int64_t)MIN(s * G_USEC_PER_SEC, (double)PAUSE_MAX_US);
+	return true;
+}
+
 int64_t pause_extend(int64_t until_us, int64_t asked_us, int64_t now)
 {
 	if (asked_us <= 0)
--- a/src/forward/pause.h
+++ b/src/policy/pause.h
@@ -1,13 +1,13 @@
-#ifndef FORWARD_PAUSE_H
-#define FORWARD_PAUSE_H
+#ifndef POLICY_PAUSE_H
+#define POLICY_PAUSE_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
 /*
- * Pauses that endpoints ask for: an endpoint that turns a request away may name
- * a time (Retry-After) in which it wants no requests from this host.  Pure
- * functions, no I/O.
+ * Pauses that endpoints ask for: an endpoint that turns a request away, with
+ * status 503 or 429, may name a time (Retry-After) in which it wants no
+ * requests from this host.  Pure functions, no I/O.
  *
  * The endpoint is sound: a pause is no failure, and other hosts, which it did
  * not ask, go on sending to it.  While all endpoints of a service are paused or
@@ -20,6 +20,13 @@
  * is asked again the same day, and a restart of it ends a pause anyway. */
 #define PAUSE_MAX_US INT64_C(3600000000)
 
+/*
+ * Parses the value of Retry-After, a decimal number of seconds.  Returns false,
+ * and sets no time, for any other text; a number that is too large is cut to
+ * PAUSE_MAX_US.
+ */
+bool pause_parse(const char *text, int64_t *us);
+
 /*
  * Returns the end of a pause that ends at until_us (0: none) after the endpoint
  * has asked for asked_us from `now` on.  A shorter wish does not end a longer
--- a/src/policy/route.c
+++ b/src/policy/route.c
@@ -1,6 +1,7 @@
 #include <assert.h>
 #include <string.h>
 #include <xxhash.h>
+#include "policy/pause.h"
 #include "policy/route_int.h"
 
 /* Endpoints whose departed incarnation is recorded; the oldest are dropped. */
@@ -186,7 +187,7 @@
 	memset(&ep->load, 0, sizeof(ep->load));
 	ep->load_sampled_us = INT64_MIN;
 	ep->token_interval_us = ep->first_token_us = 0;
-	ep->backoff_until_us = 0;
+	ep->backoff_until_us = ep->paused_until_us = 0;
 	ep->cache_event_seq = ep->cache_uncertain_seq = 0;
 }
 
@@ -405,6 +406,11 @@
 	*avg = *avg > 0 ? *avg + EWMA_ALPHA * (x - *avg) : x;
 }
 
+void route_pause(struct route_ep *ep, int64_t asked_us, int64_t now)
+{
+	ep->paused_until_us = pause_extend(ep->paused_until_us, asked_us, now);
+}
+
 void route_stream_token(struct route_stream *s, int64_t now)
 {
 	struct route_ep *ep = s->ep;
--- a/src/policy/route.h
+++ b/src/policy/route.h
@@ -243,6 +243,12 @@
 void route_stream_started(struct route *r, struct route_ep *ep,
 			  struct route_stream *s, const struct route_query *q,
 			  uint64_t blocks, int64_t now);
+/*
+ * The endpoint asked for a pause of asked_us from `now` on when it turned a
+ * request away (pause.h): it gets no new requests before its end.
+ */
+void route_pause(struct route_ep *ep, int64_t asked_us, int64_t now);
+
 /* Records a received token. */
 void route_stream_token(struct route_stream *s, int64_t now);
 
--- a/src/policy/route_choose.c
+++ b/src/policy/route_choose.c
@@ -249,7 +249,7 @@
 			continue;
 		if (route_is_stalled(r, ep, now))
 			ep->backoff_until_us = now + STALL_BACKOFF_US;
-		if (now < ep->backoff_until_us)
+		if (now < ep->backoff_until_us || now < ep->paused_until_us)
 			continue;
 		if (q->exclude && q->exclude(q->exclude_ctx, ep->id))
 			continue;
--- a/src/policy/route_int.h
+++ b/src/policy/route_int.h
@@ -30,6 +30,7 @@
 	double token_interval_us; /* between two tokens of a stream */
 	double first_token_us;	  /* from dispatch to the first token */
 	int64_t backoff_until_us; /* no new requests before, after a stall */
+	int64_t paused_until_us;  /* none before, as it asked for a pause */
 
 	uint64_t cache_event_seq; /* highest sequence number received */
 	/* Events up to this one precede a gap: entries may be outdated. */
--- a/tests/test_pause.c
+++ b/tests/test_pause.c
@@ -1,6 +1,6 @@
 #include "check_main.h"
 
-#include "forward/pause.h"
+#include "policy/pause.h"
 
 #define MS INT64_C(1000)
 #define SEC (1000 * MS)
@@ -21,6 +21,32 @@
 }
 END_TEST
 
+/* Guards against wrong numbers, and against dates and signs that are taken for
+ * seconds. */
+START_TEST(test_parse)
+{
+	static const char *const bad[] = {"",
+					  "-1",
+					  "+1",
+					  " 1",
+					  "1s",
+					  "soon",
+					  "Fri, 31 Dec 1999 23:59:59 GMT"};
+	int64_t us = -1;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		ck_assert(!pause_parse(bad[i], &us));
+	ck_assert(pause_parse("1.25", &us));
+	ck_assert_int_eq(us, 1250 * MS);
+	ck_assert(pause_parse("0", &us));
+	ck_assert_int_eq(us, 0);
+	ck_assert(pause_parse("1e300", &us));
+	ck_assert_int_eq(us, PAUSE_MAX_US);
+	ck_assert(pause_parse("99999999999999999999", &us));
+	ck_assert_int_eq(us, PAUSE_MAX_US);
+}
+END_TEST
+
 /* Guards against callers that wait for endpoints that are known to be paused
  * for longer, and against refusals where the first one is back in time. */
 START_TEST(test_refuse)
@@ -56,7 +82,7 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {test_extend, test_refuse,
+	const TTest *const tests[] = {test_extend, test_parse, test_refuse,
 				      test_avoided_endpoints};
 
 	return check_main("pause", tests, sizeof(tests) / sizeof(*tests));
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -247,6 +247,28 @@
 }
 END_TEST
 
+/* Guards against requests to an endpoint that asked for a pause, and against a
+ * pause that outlives the endpoint's incarnation. */
+START_TEST(test_paused)
+{
+	struct route *r = new_route(&route_prefix_load);
+	struct route_query q = new_query();
+	struct route_ep *e = add_endpoint(r, "e", 1, ROUTE_SERVING, "d1"), *ep;
+
+	route_confirm_registry(r, 0);
+	route_pause(e, 2 * SEC, 0);
+	route_pause(e, SEC, 0);
+	ck_assert_int_lt(route_choose(r, &q, 2 * SEC - 1, &ep), 0);
+	ck_assert_int_eq(route_choose(r, &q, 2 * SEC, &ep), 0);
+	route_pause(e, 2 * SEC, 2 * SEC);
+	ck_assert_int_lt(route_choose(r, &q, 2 * SEC, &ep), 0);
+	add_endpoint(r, "e", 2, ROUTE_SERVING, "d1");
+	route_confirm_registry(r, 2 * SEC);
+	ck_assert_int_eq(route_choose(r, &q, 2 * SEC, &ep), 0);
+	route_free(r);
+}
+END_TEST
+
 /*
  * Guards against requests to another data centre while a local endpoint has
  * room, before the wait is over, or beyond the byte budget.
@@ -364,6 +386,7 @@
 	tcase_add_test(tc, test_prefix_affinity);
 	tcase_add_test(tc, test_unreported_dispatches_count);
 	tcase_add_test(tc, test_stalled_and_slow);
+	tcase_add_test(tc, test_paused);
 	tcase_add_test(tc, test_spill_when_local_full);
 	tcase_add_test(tc, test_headroom_once_per_host);
 	suite_add_tcase(s, tc);
