entry: Apply the route's deadline to streams that were resumed

Cause: a stream that a caller had resumed at another host had no deadline. If its endpoint stalled, it never ended.

Measured: stalled.sh; ended by its watch after 30 s before, at the deadline now. A stream that pauses for three seconds goes on in both.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -354,13 +354,15 @@
 {
 	if (r->state != REQ_SENT && r->state != REQ_STREAMING)
 		return;
-	if (r->finished || r->resumed)
+	if (r->finished)
 		return;
 	if (r->deadline_us && now > r->deadline_us) {
 		dispatch_cancel(r);
 		request_fail(r, -MW_ETIMEOUT, "the deadline has passed", 0);
 		return;
 	}
+	if (r->resumed)
+		return;
 	if (r->state == REQ_SENT && r->rs.ep &&
 	    route_is_stalled(r->entry->route, r->rs.ep, now) &&
 	    now - r->rs.started_us > STALLED_TIMEOUT_US) {
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -544,6 +544,10 @@
 	struct tree *t = e->session.cfg.tree;
 	const struct route_cfg *rt = t ? tree_route(t, r->route) : NULL;
 	r->resume_window_ms = rt ? (int)rt->resume_window_ms : 0;
+	/* The deadline counts anew, as the host does not know the arrival. */
+	if (rt)
+		r->deadline_us =
+			r->arrived_us + rt->deadline_ms * USEC_PER_MSEC;
 	entry_event(e, EV_KIND_RESUMED, r->id, r->account, r->endpoint,
 		    "generation %s from index %" G_GUINT64_FORMAT,
 		    r->generation, next);
