place, spread: Expect the requests that other hosts place unseen

All hosts choose the least loaded endpoint by the same old picture.

Hosts report the arrivals of services that run a model.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "forward/place.h"
+#include "forward/spread.h"
 
 #include <xxhash.h>
 
@@ -25,6 +26,8 @@
 	struct place_target *targets;
 	struct fwd_endpoint **endpoints;
 	size_t n;
+	const char *group_dcs[SPREAD_GROUPS_MAX]; /* data centre by group */
+	unsigned int n_groups;
 };
 
 static void candidates_release(struct candidates *c)
@@ -33,6 +36,21 @@
 	g_free(c->endpoints);
 }
 
+/* Further data centres share the last group. */
+static unsigned int group_of(struct candidates *c, const char *dc)
+{
+	unsigned int g = 0;
+
+	while (g < c->n_groups && strcmp(c->group_dcs[g], dc) != 0)
+		g++;
+	if (g < c->n_groups)
+		return g;
+	if (c->n_groups == SPREAD_GROUPS_MAX)
+		return SPREAD_GROUPS_MAX - 1;
+	c->group_dcs[c->n_groups++] = dc;
+	return g;
+}
+
 /* Marks the targets whose limits leave no request for this host. */
 static void apply_limits(struct candidates *c, struct fwd *f,
 			 const char *service, int64_t now)
@@ -83,6 +101,7 @@
 			.prefill_tokens = ep->prefill_here_tokens +
 					  ep->prefill_elsewhere_tokens,
 			.tie_breaker = g_rand_int(f->rand),
+			.group = group_of(&c, ep->dc),
 		};
 	}
 	apply_limits(&c, f, r->service->name, now);
@@ -142,6 +161,23 @@
 	return s;
 }
 
+static double count_unseen(struct request *r, const struct candidates *c,
+			   int64_t now)
+{
+	struct rate_hosts hosts =
+		endpoints_rate_hosts(r->fwd, r->service->name, now);
+	const struct service_state *s =
+		endpoints_service_state(r->fwd, r->service->name);
+	double arrivals = hosts.recent ? hosts.arrivals_elsewhere
+				       : (double)hosts.arrivals * (hosts.n - 1);
+
+	return place_unseen(
+		arrivals * USEC_PER_SEC / RATE_WINDOW_US,
+		r->generation && hosts.recent ? s->queued_elsewhere_tokens : 0,
+		place_sum_capacity(c->targets, c->n).room_tokens,
+		r->need_tokens);
+}
+
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
 					     const char *except_id,
 					     const char *near_dc,
@@ -150,10 +186,13 @@
 	struct place_request placement = {.generation = r->generation,
 					  .urgent = request_is_urgent(r),
 					  .prompt_tokens = r->ask.prompt_tokens,
-					  .need_tokens = r->need_tokens};
+					  .need_tokens = r->need_tokens,
+					  .random =
+						  g_rand_double(r->fwd->rand)};
 	struct candidates c = gather_candidates(r, except_id, near_dc, now);
 	size_t index = 0;
 
+	placement.unseen = count_unseen(r, &c, now);
 	if (r->move.state != MOVE_NONE)
 		reserve_for_other_sources(&c, r);
 	enum place_result res =
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -248,6 +248,16 @@
 	return false;
 }
 
+/* Other hosts need the arrivals to share a limit, and to tell how many requests
+ * they do not see yet. */
+static bool reports_arrivals(struct fwd *f, const char *service)
+{
+	const struct plan_service *s =
+		f->plan ? plan_service(f->plan, service) : NULL;
+
+	return (s && s->runs_model) || service_has_limit(f, service);
+}
+
 Mw__UseReport *endpoints_use_report(struct fwd *f, int64_t now)
 {
 	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
@@ -287,7 +297,7 @@
 	while (g_hash_table_iter_next(&iter, &name, (void **)&s)) {
 		uint64_t tokens = request_queued_tokens(f, name);
 		unsigned int arrivals =
-			service_has_limit(f, name)
+			reports_arrivals(f, name)
 				? rate_window_count(&s->arrivals, now)
 				: 0;
 		if (!tokens && !arrivals)
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <glib.h>
 
+#include "forward/spread.h"
+
 /*
  * Prompt tokens that an engine processes in a millisecond beside its
  * generations: it processes 112 tokens in 8 ms, and then produces one token
@@ -137,34 +139,53 @@
 	return us;
 }
 
+/* What a request like this one adds to the cost of an endpoint. */
+static int64_t arrival_cost(const struct place_target *t,
+			    const struct place_request *request)
+{
+	if (!request->generation)
+		return CALL_COST_US / (t->slots ? t->slots : 1);
+	return (int64_t)request->prompt_tokens * 1000 / PREFILL_TOKENS_PER_MS +
+	       GENERATION_COST_US;
+}
+
+double place_unseen(double arrivals_per_s, uint64_t queued_tokens,
+		    uint64_t room_tokens, uint64_t need_tokens)
+{
+	double queued = (double)MIN(queued_tokens, room_tokens) /
+			(double)MAX(need_tokens, 1);
+
+	return arrivals_per_s * PLACE_LAG_US / G_USEC_PER_SEC + queued;
+}
+
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_request *request,
 			       size_t *index)
 {
 	enum place_result result = PLACE_NO_ENDPOINT;
-	int64_t best = 0;
+	g_autofree struct spread_item *items = g_new(struct spread_item, n + 1);
+	size_t n_items = 0;
 
 	for (size_t i = 0; i < n; i++) {
 		const struct place_target *t = &targets[i];
 
 		if (!t->usable || t->excluded)
 			continue;
-		if (!has_room(t, request)) {
-			if (result == PLACE_NO_ENDPOINT)
-				result = PLACE_NO_ROOM;
-			continue;
-		}
-		int64_t c = placement_cost(t, request);
-		if (result == PLACE_OK &&
-		    (c > best ||
-		     (c == best &&
-		      t->tie_breaker >= targets[*index].tie_breaker)))
+		result = PLACE_NO_ROOM;
+		if (!has_room(t, request))
 			continue;
-		result = PLACE_OK;
-		best = c;
-		*index = i;
+		items[n_items++] = (struct spread_item){
+			.cost_us = placement_cost(t, request),
+			.group = MIN(t->group, SPREAD_GROUPS_MAX - 1),
+			.tie_breaker = t->tie_breaker,
+			.index = i};
 	}
-	return result;
+	if (!n_items)
+		return result;
+	*index = spread_choose(items, n_items, request->unseen,
+			       arrival_cost(&targets[items[0].index], request),
+			       request->random);
+	return PLACE_OK;
 }
 
 /*
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -34,6 +34,7 @@
 	uint64_t prefill_tokens;   /* prompt tokens not processed yet */
 	unsigned int engine_queue; /* requests in the endpoint's own queue */
 	uint32_t tie_breaker;	   /* random; other for each host and request */
+	unsigned int group;	   /* data centre, see spread.h */
 };
 
 struct place_request {
@@ -42,6 +43,8 @@
 			generation that is not urgent is deferrable */
 	uint32_t prompt_tokens;
 	uint64_t need_tokens; /* memory needed when it ends */
+	double unseen; /* requests that other hosts place at the same time */
+	double random; /* uniform between 0 and 1 */
 };
 
 enum place_result {
@@ -50,9 +53,20 @@
 	PLACE_NO_ENDPOINT, /* no endpoint is usable */
 };
 
+/* Time until a host has the requests that others placed, in the totals. */
+#define PLACE_LAG_US INT64_C(150000)
+
+/*
+ * Requests that other hosts place before this one learns of it: arrivals_per_s
+ * arrive there, and queued_tokens wait there, which all are placed at the same
+ * moment as far as room_tokens suffice; need_tokens is that of one request.
+ */
+double place_unseen(double arrivals_per_s, uint64_t queued_tokens,
+		    uint64_t room_tokens, uint64_t need_tokens);
+
 /*
- * Chooses the target with room that has the lowest cost; sets *index only if
- * the result is PLACE_OK.
+ * Chooses a target with room that has a low cost, see spread.h; sets *index
+ * only if the result is PLACE_OK.
  */
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_request *request,
--- /dev/null
+++ b/src/forward/spread.h
@@ -0,0 +1,42 @@
+#ifndef FORWARD_SPREAD_H
+#define FORWARD_SPREAD_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Choice among endpoints by load that is old.  Pure functions, no I/O.
+ *
+ * A host sees what other hosts placed only with the next totals.  If each of
+ * hundreds of hosts takes the endpoint with the least load, all that arrives in
+ * that time meets there: a dozen prompts at an endpoint that has just joined,
+ * while the next one is idle.  So a host expects a number of arrivals that it
+ * does not see yet.  It takes them for spread as well as possible, which fills
+ * the least loaded endpoints up to a common level, and draws an endpoint with
+ * the probability of an arrival there.  All hosts together then spread the
+ * arrivals like that.  Without unseen arrivals this is the endpoint with the
+ * least load.
+ *
+ * Hosts prefer endpoints of their own data centre, so arrivals are taken for
+ * spread over the data centres like the endpoints, and the data centre with the
+ * lowest level is chosen first.
+ */
+
+struct spread_item {
+	int64_t cost_us;    /* by the load that is seen, and by distance */
+	unsigned int group; /* data centre, below SPREAD_GROUPS_MAX */
+	uint32_t tie_breaker;
+	size_t index; /* the caller's */
+};
+
+#define SPREAD_GROUPS_MAX 32
+
+/*
+ * Returns the index of an item; n is at least 1.  Each arrival adds
+ * arrival_cost_us to the cost of its item; `unseen` of them are expected.
+ * `random` is uniform between 0 and 1.  Sorts the items.
+ */
+size_t spread_choose(struct spread_item *items, size_t n, double unseen,
+		     int64_t arrival_cost_us, double random);
+
+#endif
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1148,7 +1148,7 @@
    */
   uint64_t tokens;
   /*
-   * requests for the service in the last 2 s, if an
+   * requests for the service in the last 2 s, if it runs
    */
   uint32_t arrivals;
 };
--- /dev/null
+++ b/tests/test_spread.c
@@ -0,0 +1,228 @@
+#include "check_main.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <glib.h>
+
+#include "forward/place.h"
+#include "forward/spread.h"
+
+/*
+ * Plays hosts that place prompts on engines and see each other's placements
+ * LAG_MS later.  Engines end and new, empty ones come all the time, as the
+ * platform reclaims them.
+ */
+#define HOSTS_MAX 400
+#define ENGINES 96
+#define GROUPS 6
+#define LAG_MS 130
+#define RUN_MS 20000
+#define PROMPT 2600 /* tokens */
+#define NEED 1500   /* tokens of memory */
+#define GENERATE_MS 4000
+#define READ_PER_MS 7	  /* tokens, of one engine */
+#define RENEW_EACH_MS 180 /* an engine is replaced */
+#define ARRIVAL_EACH_MS 6 /* 0.6 of what the engines can read */
+#define LATE_MS 1500	  /* to read a prompt, those before it included */
+
+struct placement {
+	int at_ms;
+	unsigned int host, engine;
+	bool has_ended; /* with its engine */
+};
+
+struct play {
+	unsigned int n_hosts;
+	bool expects; /* hosts expect arrivals that they do not see */
+	GRand *rand;
+	uint64_t unread[ENGINES];      /* tokens */
+	struct placement runs[RUN_MS]; /* in order; from `oldest` on, running */
+	size_t n_runs, oldest;
+	unsigned int placed, late, refused;
+};
+
+static unsigned int draw(struct play *p, unsigned int n)
+{
+	return (unsigned int)g_rand_int_range(p->rand, 0, (gint)n);
+}
+
+/* What a host sees: all work but that of other hosts in the last LAG_MS. */
+static void look(struct play *p, unsigned int host, struct place_target *t,
+		 int now_ms)
+{
+	for (unsigned int e = 0; e < ENGINES; e++)
+		t[e] = (struct place_target){
+			.usable = true,
+			.slots = 24,
+			.memory_tokens = 34000,
+			.prefill_tokens = p->unread[e],
+			.group = e % GROUPS,
+			.distance = e % GROUPS == host % GROUPS ? 0 : 2,
+			.tie_breaker = g_rand_int(p->rand)};
+	for (size_t i = p->oldest; i < p->n_runs; i++) {
+		const struct placement *run = &p->runs[i];
+		struct place_target *of = &t[run->engine];
+
+		if (run->has_ended)
+			continue;
+		if (run->host != host && now_ms - run->at_ms < LAG_MS) {
+			of->prefill_tokens -= MIN(of->prefill_tokens, PROMPT);
+			continue;
+		}
+		of->open_requests++;
+		of->needed_tokens += NEED;
+	}
+}
+
+static void place(struct play *p, int now_ms)
+{
+	struct place_target t[ENGINES];
+	unsigned int host = draw(p, p->n_hosts);
+	double others = (double)(p->n_hosts - 1) / p->n_hosts;
+	struct place_request request = {
+		.generation = true,
+		.urgent = true,
+		.prompt_tokens = PROMPT,
+		.need_tokens = NEED,
+		.unseen = p->expects ? place_unseen(1000.0 / ARRIVAL_EACH_MS *
+							    others,
+						    0, 0, NEED)
+				     : 0,
+		.random = g_rand_double(p->rand)};
+	size_t e;
+
+	look(p, host, t, now_ms);
+	if (place_choose(t, ENGINES, &request, &e) != PLACE_OK) {
+		p->refused++;
+		return;
+	}
+	p->placed++;
+	p->unread[e] += PROMPT;
+	p->late += p->unread[e] / READ_PER_MS > LATE_MS;
+	p->runs[p->n_runs++] = (struct placement){
+		.at_ms = now_ms, .host = host, .engine = (unsigned int)e};
+}
+
+static void end_runs(struct play *p, int now_ms)
+{
+	while (p->oldest < p->n_runs &&
+	       now_ms - p->runs[p->oldest].at_ms >= GENERATE_MS)
+		p->oldest++;
+}
+
+/* A new engine takes the place of one. */
+static void renew_engine(struct play *p)
+{
+	unsigned int e = draw(p, ENGINES);
+
+	p->unread[e] = 0;
+	for (size_t i = p->oldest; i < p->n_runs; i++)
+		p->runs[i].has_ended |= p->runs[i].engine == e;
+}
+
+/* Returns the share of the prompts that are read late or refused. */
+static double play(unsigned int n_hosts, bool expects)
+{
+	struct play *p = g_new0(struct play, 1);
+
+	p->n_hosts = n_hosts;
+	p->expects = expects;
+	p->rand = g_rand_new_with_seed(n_hosts);
+	for (int ms = 1; ms < RUN_MS; ms++) {
+		end_runs(p, ms);
+		if (ms % RENEW_EACH_MS == 0)
+			renew_engine(p);
+		if (ms % ARRIVAL_EACH_MS == 0)
+			place(p, ms);
+		for (unsigned int e = 0; e < ENGINES; e++)
+			p->unread[e] -= MIN(p->unread[e], READ_PER_MS);
+	}
+	double bad = (double)(p->late + p->refused) / (p->placed + p->refused);
+	g_rand_free(p->rand);
+	g_free(p);
+	return bad;
+}
+
+/*
+ * Guards against hundreds of hosts that choose the same endpoints, as each sees
+ * the others' placements late: with them a prompt must not be read late more
+ * often, beyond one in fifty, than with the 24 hosts of a small deployment.
+ */
+START_TEST(test_many_hosts_like_few)
+{
+	double few = play(24, true);
+
+	ck_assert_double_le(play(88, true), few + 0.02);
+	ck_assert_double_le(play(300, true), few + 0.02);
+	ck_assert_double_le(play(400, true), few + 0.02);
+	ck_assert_double_le(few, 0.02);
+}
+END_TEST
+
+/* The load of the test before is one that needs it. */
+START_TEST(test_load_needs_it)
+{
+	ck_assert_double_ge(play(300, false), 0.1);
+}
+END_TEST
+
+static size_t choose(const int64_t *costs, size_t n, double unseen,
+		     double random)
+{
+	struct spread_item items[8];
+
+	for (size_t i = 0; i < n; i++)
+		items[i] =
+			(struct spread_item){.cost_us = costs[i], .index = i};
+	return spread_choose(items, n, unseen, 100, random);
+}
+
+/* Guards against a random choice where a host sees all, and against one that
+ * leaves out endpoints below the level or takes one above it. */
+START_TEST(test_level)
+{
+	const int64_t costs[] = {50, 0, 300};
+
+	for (double r = 0; r < 1; r += 0.1) {
+		ck_assert_uint_eq(choose(costs, 3, 0, r), 1);
+		ck_assert_uint_eq(choose(costs, 3, 0.4, r), 1);
+	}
+	/* 150 more are spread up to a level of 100: as 2 to 1. */
+	ck_assert_uint_eq(choose(costs, 3, 1.5, 0.65), 1);
+	ck_assert_uint_eq(choose(costs, 3, 1.5, 0.68), 0);
+	ck_assert_uint_eq(choose(costs, 3, 1.5, 0.999), 0);
+	/* 1000 more up to 450. */
+	ck_assert_uint_eq(choose(costs, 3, 10, 0.999), 2);
+}
+END_TEST
+
+/* Guards against requests to a far data centre while the near one is as free,
+ * and to a near one that is much fuller. */
+START_TEST(test_groups)
+{
+	struct spread_item items[] = {
+		{.cost_us = 40000, .group = 1, .index = 0},
+		{.cost_us = 0, .group = 0, .index = 1},
+		{.cost_us = 40000, .group = 1, .index = 2},
+		{.cost_us = 0, .group = 0, .index = 3}};
+
+	for (double r = 0; r < 1; r += 0.1)
+		ck_assert_uint_eq(spread_choose(items, 4, 20, 360000, r) % 2,
+				  1);
+	for (size_t i = 0; i < 4; i++)
+		if (items[i].group == 0)
+			items[i].cost_us = 90000;
+	for (double r = 0; r < 1; r += 0.1)
+		ck_assert_uint_eq(spread_choose(items, 4, 20, 360000, r) % 2,
+				  0);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_many_hosts_like_few,
+				      test_load_needs_it, test_level,
+				      test_groups};
+
+	return check_main("spread", tests, sizeof(tests) / sizeof(*tests));
+}
