choose: Count unseen arrivals over the time that totals really take

Cause: the first version took 0.15 s for the lag of the totals at any size. With six hosts it is some 35 ms, with 300 some 80 ms.

Change: usage_lag_us() sums up the intervals in force and the way; a host without recent totals takes the age of its last ones.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "forward/place.h"
 #include "forward/spread.h"
+#include "policy/usage_interval.h"
 
 #include <xxhash.h>
 
@@ -171,8 +172,13 @@
 	double arrivals = hosts.recent ? hosts.arrivals_elsewhere
 				       : (double)hosts.arrivals * (hosts.n - 1);
 
+	int64_t lag_us = usage_lag_us(hosts.n, r->fwd->use_report_rows,
+				      control_link_controls(r->fwd));
+
+	if (!hosts.recent)
+		lag_us = MIN(now - r->fwd->totals_received_us, RATE_WINDOW_US);
 	return place_unseen(
-		arrivals * USEC_PER_SEC / RATE_WINDOW_US,
+		arrivals * USEC_PER_SEC / RATE_WINDOW_US, lag_us,
 		r->generation && hosts.recent ? s->queued_elsewhere_tokens : 0,
 		place_sum_capacity(c->targets, c->n).room_tokens,
 		r->need_tokens);
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -132,15 +132,22 @@
 	f->document_requests++;
 }
 
-/* Alternates between the control processes with `turn`, so that after a request
- * to a frozen one the next request goes to another. */
-static struct peer *next_control_peer(struct fwd *f, unsigned int turn)
+unsigned int control_link_controls(const struct fwd *f)
 {
-	unsigned int n = 0, k;
+	unsigned int n = 0;
 
 	for (struct peer *p = peer_next(f->peers, NULL); p;
 	     p = peer_next(f->peers, p))
 		n += is_control(p);
+	return n;
+}
+
+/* Alternates between the control processes with `turn`, so that after a request
+ * to a frozen one the next request goes to another. */
+static struct peer *next_control_peer(struct fwd *f, unsigned int turn)
+{
+	unsigned int n = control_link_controls(f), k;
+
 	if (!n)
 		return NULL;
 	k = turn % n;
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -186,6 +186,8 @@
 			 void (*done)(int err, const Mw__Frame *reply,
 				      void *ctx),
 			 void *ctx);
+/* Number of connected control processes. */
+unsigned int control_link_controls(const struct fwd *f);
 /* Sends the row of an endpoint to all connected control processes. */
 void control_link_send_endpoint(struct fwd *f, Mw__EndpointInfo *info);
 /* Sends a crash mark to all connected control processes. */
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -149,13 +149,14 @@
 	       GENERATION_COST_US;
 }
 
-double place_unseen(double arrivals_per_s, uint64_t queued_tokens,
-		    uint64_t room_tokens, uint64_t need_tokens)
+double place_unseen(double arrivals_per_s, int64_t lag_us,
+		    uint64_t queued_tokens, uint64_t room_tokens,
+		    uint64_t need_tokens)
 {
 	double queued = (double)MIN(queued_tokens, room_tokens) /
 			(double)MAX(need_tokens, 1);
 
-	return arrivals_per_s * PLACE_LAG_US / G_USEC_PER_SEC + queued;
+	return arrivals_per_s * (double)lag_us / G_USEC_PER_SEC + queued;
 }
 
 enum place_result place_choose(const struct place_target *targets, size_t n,
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -53,16 +53,15 @@
 	PLACE_NO_ENDPOINT, /* no endpoint is usable */
 };
 
-/* Time until a host has the requests that others placed, in the totals. */
-#define PLACE_LAG_US INT64_C(150000)
-
 /*
- * Requests that other hosts place before this one learns of it: arrivals_per_s
- * arrive there, and queued_tokens wait there, which all are placed at the same
- * moment as far as room_tokens suffice; need_tokens is that of one request.
+ * Requests that other hosts place before this one learns of it, lag_us later:
+ * arrivals_per_s arrive there, and queued_tokens wait there, which all are
+ * placed at the same moment as far as room_tokens suffice; need_tokens is that
+ * of one request.
  */
-double place_unseen(double arrivals_per_s, uint64_t queued_tokens,
-		    uint64_t room_tokens, uint64_t need_tokens);
+double place_unseen(double arrivals_per_s, int64_t lag_us,
+		    uint64_t queued_tokens, uint64_t room_tokens,
+		    uint64_t need_tokens);
 
 /*
  * Chooses a target with room that has a low cost, see spread.h; sets *index
--- a/src/policy/usage_interval.c
+++ b/src/policy/usage_interval.c
@@ -29,6 +29,16 @@
 	return CLAMP(MAX(by_hosts, by_rows), INTERVAL_MIN_US, INTERVAL_MAX_US);
 }
 
+/* From a host to its control process, to another one in another region, and to
+ * a host there. */
+#define WAY_US 14000
+
+int64_t usage_lag_us(unsigned int hosts, size_t rows, unsigned int controls)
+{
+	return usage_report_interval_us(hosts, rows) +
+	       usage_totals_interval_us(hosts / MAX(controls, 1u)) + WAY_US;
+}
+
 int64_t usage_totals_interval_us(unsigned int hosts)
 {
 	return CLAMP((int64_t)hosts * TOTALS_INTERVAL_US_PER_HOST,
--- a/src/policy/usage_interval.h
+++ b/src/policy/usage_interval.h
@@ -21,4 +21,11 @@
 /* Interval of the totals; `hosts` is the hosts the control process serves. */
 int64_t usage_totals_interval_us(unsigned int hosts);
 
+/*
+ * Time until a host has in its totals what another one has placed, at most, if
+ * both report to one of `controls` control processes (0 counts as 1); `rows`
+ * is the number of rows of a host.
+ */
+int64_t usage_lag_us(unsigned int hosts, size_t rows, unsigned int controls);
+
 #endif
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -86,7 +86,7 @@
 		.need_tokens = NEED,
 		.unseen = p->expects ? place_unseen(1000.0 / ARRIVAL_EACH_MS *
 							    others,
-						    0, 0, NEED)
+						    LAG_MS * 1000, 0, 0, NEED)
 				     : 0,
 		.random = g_rand_double(p->rand)};
 	size_t e;
