httpd: Pass no request to the handler while the server is freed

Cause, found by reading the change to the stop: httpd_free() runs libmicrohttpd to send answers that are ready, which may read the next request of a kept connection. The handler had an owner that ends, and the process aborted with "MHD_stop_daemon() called while we have suspended connections".

Measured: test_free_sends_replies, with a second request behind the first, aborts before and passes now.

--- a/src/control/ctl_poll.c
+++ b/src/control/ctl_poll.c
@@ -8,9 +8,9 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_feed.h"
-#include "policy/pause.h"
 #include "iface/iface.h"
 #include "obs/slog.h"
+#include "policy/pause.h"
 
 /* Shorter would gain nothing: a reported load is half a second old anyway. */
 #define POLL_INTERVAL_US (500 * USEC_PER_MSEC)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -162,6 +162,7 @@
 	return s;
 }
 
+/* Requests that other hosts place while this one does not see them. */
 static double count_unseen(struct request *r, const struct candidates *c,
 			   int64_t now)
 {
@@ -171,7 +172,6 @@
 		endpoints_service_state(r->fwd, r->service->name);
 	double arrivals = hosts.recent ? hosts.arrivals_elsewhere
 				       : (double)hosts.arrivals * (hosts.n - 1);
-
 	int64_t lag_us = usage_lag_us(hosts.n, r->fwd->use_report_rows,
 				      control_link_controls(r->fwd));
 
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -169,8 +169,6 @@
 
 /* ---- crash marks ---- */
 
-static struct peer *choose_report_peer(struct fwd *f, int64_t now);
-
 int control_link_propose(struct fwd *f, Mw__Command *cmd, int timeout_ms,
 			 void (*done)(int err, const Mw__Frame *reply,
 				      void *ctx),
@@ -198,17 +196,6 @@
 			peer_send(p, &frame);
 }
 
-void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark)
-{
-	Mw__Frame frame = MW__FRAME__INIT;
-	struct peer *p = choose_report_peer(f, clock_mono_us());
-
-	frame.body_case = MW__FRAME__BODY_CRASH_MARK;
-	frame.crash_mark = mark;
-	if (p)
-		peer_send(p, &frame);
-}
-
 /* ---- endpoints ---- */
 
 static void send_endpoint(struct peer *p, Mw__EndpointInfo *info)
@@ -374,6 +361,17 @@
 	return fallback;
 }
 
+void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark, int64_t now)
+{
+	Mw__Frame frame = MW__FRAME__INIT;
+	struct peer *p = choose_report_peer(f, now);
+
+	frame.body_case = MW__FRAME__BODY_CRASH_MARK;
+	frame.crash_mark = mark;
+	if (p)
+		peer_send(p, &frame);
+}
+
 /* Avoids the process that gets the reports if its totals are missing. */
 static void check_totals_age(struct fwd *f, struct peer *p, int64_t now)
 {
--- a/src/forward/crashes.c
+++ b/src/forward/crashes.c
@@ -327,7 +327,7 @@
 		return;
 	mark.served = (char **)served->pdata;
 	mark.n_served = served->len;
-	control_link_send_vouch(f, &mark);
+	control_link_send_vouch(f, &mark, now);
 	struct slog l = slog_begin("vouch");
 	slog_int(&l, "traits", (int64_t)served->len);
 	slog_str(&l, "first", served->pdata[0]);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -195,7 +195,7 @@
 /* Sends traits that this host vouches for to one control process, which
  * forwards them; crashes that are not cleared are cleared after the next one.
  */
-void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark);
+void control_link_send_vouch(struct fwd *f, Mw__CrashMark *mark, int64_t now);
 
 /* ---- plan_parse.c ---- */
 void plan_parse_init(struct fwd *f);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -64,6 +64,7 @@
 	int listen_fd;	   /* -1: closed */
 	int run_due;	   /* MHD_run() is to be called before the loop polls */
 	bool quiescing;	   /* accepts what waits, then stops listening */
+	bool freeing;	   /* no request is passed to the handler any more */
 	int accept_rounds; /* of quiescing */
 };
 
@@ -284,7 +285,8 @@
 
 	(void)conn;
 	(void)version;
-	if (!req || req->state == REQ_CLOSED)
+	if (!req || req->state == REQ_CLOSED ||
+	    (h->freeing && req->state == REQ_READING))
 		return MHD_NO;
 	if (!req->started)
 		return req_start(req, method, path);
@@ -547,6 +549,7 @@
 {
 	struct list *pos, *tmp;
 
+	h->freeing = true;
 	/*
 	 * libmicrohttpd aborts the process if it is stopped with a suspended
 	 * connection, so all are resumed first.
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -348,8 +348,12 @@
 
 	send_raw(fd, "/hold");
 	RUN_UNTIL(open_req);
+	/* The next one must not be passed to an owner that ends. */
+	send_raw(fd, "/hold");
+	struct httpd_req *first = open_req;
 	httpd_reply(open_req, 204, NULL, "", 0);
 	httpd_free(server);
+	ck_assert_ptr_eq(open_req, first);
 	status = answer_status(fd);
 	ck_assert_int_eq(status, 204);
 	ck_assert_int_eq(closed, 0);
