--- a/src/forward/spread.c
+++ b/src/forward/spread.c
@@ -1,5 +1,6 @@
 #include "forward/spread.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <glib.h>
 
@@ -61,6 +62,7 @@
 	double work_us = unseen * (double)arrival_cost_us;
 	struct group best = {.n = 0};
 
+	assert(n);
 	qsort(items, n, sizeof(*items), compare_items);
 	for (size_t i = 0, next; i < n; i = next) {
 		struct group g = {.items = &items[i]};
