review: Cases 2 and 3, an odd announcement and two crashes stop a service

Case 2: another writer's announcement ends the streams of a sound server. Case 3: two crashes refuse all requests with a shared prompt part.

--- a/review/harness.h
+++ b/review/harness.h
@@ -106,6 +106,9 @@
 struct rv_server *rv_serve(const char *id, const char *service, int n,
 			   unsigned int slots, rv_handler *handler);
 const char *rv_server_id(const struct rv_server *s);
+/* The server ends without a word: its connections are reset, new ones are
+ * refused. */
+void rv_server_crash(struct rv_server *s);
 /* A header of the request, or NULL; *len is set. */
 const char *rv_header(const char *head, const char *name, size_t *len);
 /* Sends a complete, signed answer. */
