--- a/review/harness.c
+++ b/review/harness.c
@@ -571,7 +571,7 @@
 	long long born, seq;
 	int listen_fd;
 	rv_handler *handler;
-	bool crashed;
+	bool crashed, draining;
 	pthread_mutex_t lock;
 	int open_fds[MACHINES]; /* connections, 0: none */
 };
@@ -581,23 +581,39 @@
 	return s->id;
 }
 
+/* Until the next heartbeat, or until the server begins to drain. */
+static void wait_for_beat(struct rv_server *s)
+{
+	bool draining = s->draining;
+
+	for (double end = rv_now() + HEARTBEAT_S;
+	     rv_now() < end && s->draining == draining;)
+		rv_sleep(0.01);
+}
+
+void rv_server_drain(struct rv_server *s)
+{
+	rv_record("server %s announces that it is draining", s->id);
+	s->draining = true;
+}
+
 static void *announce(void *arg)
 {
 	struct rv_server *s = arg;
 	char path[128], body[1024];
 
 	snprintf(path, sizeof(path), "/instances/%s", s->id);
-	for (int control = s->zone; !s->crashed; rv_sleep(HEARTBEAT_S)) {
+	for (int control = s->zone; !s->crashed; wait_for_beat(s)) {
 		int len = snprintf(
 			body, sizeof(body),
 			"{\"service\":\"%s\",\"address\":\"%s:%d\","
 			"\"zone\":\"z%d\",\"version\":\"v1\",\"slots\":%u,"
-			"\"state\":\"ready\",\"cold_remaining_ms\":0,"
+			"\"state\":\"%s\",\"cold_remaining_ms\":0,"
 			"\"stage\":\"unified\",\"models\":[{\"name\":\"m\","
 			"\"version\":1,\"adapters\":[]}],\"born\":%lld,"
 			"\"seq\":%lld}",
 			s->service, rv_ip(s->n), SERVER_PORT, s->zone, s->slots,
-			s->born, ++s->seq);
+			s->draining ? "draining" : "ready", s->born, ++s->seq);
 		for (int tries = 0; tries < 3; tries++) {
 			if (rv_call(control, RV_CONTROL_PORT, "PUT", path,
 				    "Content-Type: application/json\r\n", body,
--- a/review/harness.h
+++ b/review/harness.h
@@ -109,6 +109,8 @@
 /* The server ends without a word: its connections are reset, new ones are
  * refused. */
 void rv_server_crash(struct rv_server *s);
+/* The server announces from now on that it is draining. */
+void rv_server_drain(struct rv_server *s);
 /* A header of the request, or NULL; *len is set. */
 const char *rv_header(const char *head, const char *name, size_t *len);
 /* Sends a complete, signed answer. */
