--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,137 +1,208 @@
 /*
- * Rule UNASKED: a server runs a request with another path than the client sent.
+ * Rule LOST: around a SIGTERM, a front machine takes requests from kept
+ * connections, passes them on to servers, and ends the connections without a
+ * complete answer.
  *
- * TROUBLE=1: clients send paths with dot segments, and with bytes above 0x7f.
- * TROUBLE=0: the same requests with paths that have neither.
+ * TROUBLE=1: the machine gets SIGTERM LEAD_S before the requests are sent.
+ * TROUBLE=0: no signal.
  */
 #include "harness.h"
 
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#define EACH 4 /* requests of each kind */
+#define LEAD_S                                                                 \
+	3.2	  /* from SIGTERM to the requests; the rule's excuse covers    \
+		     requests that were sent up to 3 s after it */
+#define EVENTS 20 /* of 4 tokens each, as in X-Token-Counts */
+#define FIRST_S                                                                \
+	4.2	     /* until the first one: the request waits in the queue    \
+			of its engine */
+#define EVENT_S 0.04 /* between two events */
+#define WORK_S                                                                 \
+	4.8 /* of a once-only call, with its wait for a slot; its              \
+	       deadline is 5 s */
+
 static const char config[] =
-	"{\"version\":1,\"routes\":["
-	"{\"name\":\"r-lookup\",\"host\":\"ficu95.example\","
-	"\"path_prefix\":\"/puxa403/\",\"kind\":\"idempotent\","
-	"\"timeout_ms\":2500,\"target_latency_ms\":300,\"priority\":2,"
-	"\"service\":\"wuno96b\",\"max_attempts\":2,\"public\":false,"
-	"\"sticky\":false},"
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r-hvz3pfi\",\"host\":\"ficu95.example\","
+	"\"path_prefix\":\"/pufi791/\",\"kind\":\"streaming\","
+	"\"timeout_ms\":6000,\"target_latency_ms\":1500,\"priority\":0,"
+	"\"service\":\"huvo11a\",\"max_attempts\":1,\"public\":false,"
+	"\"sticky\":true,\"resumable\":false,\"target_gap_ms\":180},"
 	"{\"name\":\"r-issue\",\"host\":\"ficu95.example\","
 	"\"path_prefix\":\"/pule252/\",\"kind\":\"non_idempotent\","
-	"\"timeout_ms\":2500,\"target_latency_ms\":300,\"priority\":2,"
+	"\"timeout_ms\":6000,\"target_latency_ms\":300,\"priority\":2,"
 	"\"service\":\"wuno96b\",\"max_attempts\":1,\"public\":false,"
-	"\"sticky\":false},"
-	"{\"name\":\"r-open\",\"host\":\"ficu95.example\","
-	"\"path_prefix\":\"/veha118/\",\"kind\":\"idempotent\","
-	"\"timeout_ms\":2500,\"target_latency_ms\":300,\"priority\":2,"
-	"\"service\":\"wuno96b\",\"max_attempts\":2,\"public\":true,"
 	"\"sticky\":false}],"
-	"\"services\":[{\"name\":\"wuno96b\",\"health_path\":\"/healthz\","
+	"\"services\":[{\"name\":\"huvo11a\",\"health_path\":\"/healthz\","
+	"\"max_conns\":232,\"protocol\":\"h1\",\"tls\":false,"
+	"\"engine\":{\"slots\":24,\"kv_capacity_tokens\":34215,"
+	"\"kv_token_bytes\":35136,\"link_mbps\":5100.0,\"moves\":true,"
+	"\"backups\":true,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,"
+	"\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}},"
+	"{\"name\":\"wuno96b\",\"health_path\":\"/healthz\","
 	"\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
 	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 	"\"tenants\":[{\"name\":\"huka270\","
 	"\"api_keys\":[\"xd9dnn2ctnfzs989anu6\"],\"priority\":1}]}";
 
-#define KEY "X-Key: xd9dnn2ctnfzs989anu6\r\n"
-
-static const struct {
-	const char *method, *trouble, *calm, *key;
-} requests[] = {
-	{"GET", "/puxa403/2f/../91", "/puxa403/2f/91", KEY},
-	{"GET", "/puxa403/./2f", "/puxa403/2f", KEY},
-	{"GET", "/puxa403/..", "/puxa403/", KEY},
-	{"GET", "/puxa403/caf\xe9", "/puxa403/cafe", KEY},
-	{"POST", "/pule252/2f/./7", "/pule252/2f/7", KEY},
-	/* On a public route, so without a key. */
-	{"GET", "/veha118/../puxa403/2f", "/veha118/puxa403/2f", ""},
-	{"POST", "/veha118/../pule252/2f", "/veha118/pule252/2f", ""},
-};
-#define N (sizeof(requests) / sizeof(requests[0]))
-
+static double term_s;	  /* time of SIGTERM; 0: none */
+static bool quick = true; /* the first requests, which only open connections */
+static unsigned int lost;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static unsigned int changed, runs;
 
-static const char *sent_target(size_t i)
+static void handle_stream(struct rv_request *r)
+{
+	rv_record("server %s runs %s (stream)", rv_server_id(r->server), r->id);
+	if (!quick)
+		rv_sleep(FIRST_S);
+	bool here = rv_stream_begin(r);
+	for (int i = 1; here && i <= (quick ? 1 : EVENTS); i++) {
+		rv_sleep(quick ? 0 : EVENT_S);
+		here = rv_stream_event(r, i, "piece");
+	}
+	here = here && rv_stream_end(r);
+	rv_record("server %s: %s %s", rv_server_id(r->server), r->id,
+		  here ? "is complete"
+		       : "was at work when the system closed the connection");
+}
+
+static void handle_call(struct rv_request *r)
 {
-	return rv_trouble ? requests[i].trouble : requests[i].calm;
+	rv_record("server %s runs %s (once-only call)", rv_server_id(r->server),
+		  r->id);
+	if (!quick)
+		rv_sleep(WORK_S);
+	rv_answer(r, 200, "issued");
+	rv_record("server %s has answered %s", rv_server_id(r->server), r->id);
+}
+
+struct client {
+	int fd;
+	bool stream;
+	char id[32];
+	double sent_s;
+	pthread_t thread;
+};
+
+static bool send_request(struct client *c)
+{
+	char text[1024];
+	int n = snprintf(text, sizeof(text),
+			 "POST %s HTTP/1.1\r\nHost: ficu95.example\r\n"
+			 "X-Request-Id: %s\r\nX-Key: xd9dnn2ctnfzs989anu6\r\n%s"
+			 "Content-Length: 2\r\n\r\n{}",
+			 c->stream ? "/pufi791/2f" : "/pule252/2f", c->id,
+			 c->stream
+				 ? "X-Model: m\r\nX-Token-Counts: 1460,80\r\n"
+				   "X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,"
+				   "e4402b7d:250\r\nX-Deadline-Ms: 6000\r\n"
+				 : "X-Deadline-Ms: 5000\r\n");
+
+	c->sent_s = rv_now();
+	return rv_send(c->fd, text, (size_t)n);
 }
 
-static void handle(struct rv_request *r)
+static void *wait_for_answer(void *arg)
 {
-	unsigned int round, i;
-	size_t n;
-
-	if (sscanf(r->id, "9c41d%04x%04x", &round, &i) == 2 && i < N) {
-		const char *tenant = rv_header(r->head, "X-Tenant", &n);
-		bool same = !strcmp(r->target, sent_target(i)) &&
-			    !strcmp(r->method, requests[i].method);
-		rv_record("server %s runs %s: %s %s, X-Tenant %.*s: %s",
-			  rv_server_id(r->server), r->id, r->method, r->target,
-			  tenant ? (int)n : 4, tenant ? tenant : "none",
-			  same ? "as sent" : "CHANGED");
+	struct client *c = arg;
+	struct rv_answer a;
+
+	rv_read_answer(c->fd, 12, &a);
+	double end_s = rv_now();
+	rv_record("client: %s got status %d, %zu bytes, %s; %.2f s after it "
+		  "was sent%s",
+		  c->id, a.status, a.len, a.end, end_s - c->sent_s,
+		  a.complete ? "" : ": NO COMPLETE ANSWER");
+	/* Refusals are complete answers, too. */
+	if (!a.complete) {
 		pthread_mutex_lock(&lock);
-		runs++;
-		changed += !same;
+		lost++;
 		pthread_mutex_unlock(&lock);
 	}
-	rv_answer(r, 200, "done");
+	rv_answer_free(&a);
+	return NULL;
 }
 
-static int ask(const char *method, const char *target, const char *key,
-	       const char *id)
+/* Opens a connection and has one short request answered on it. */
+static bool open_kept(struct client *c)
 {
-	char text[1024];
 	struct rv_answer a;
-	int fd = rv_connect(11, RV_FRONT_PORT);
-	int n = snprintf(text, sizeof(text),
-			 "%s %s HTTP/1.1\r\nHost: ficu95.example\r\n"
-			 "X-Request-Id: %s\r\nX-Deadline-Ms: 2500\r\n%s"
-			 "Content-Length: 0\r\n\r\n",
-			 method, target, id, key);
-
-	if (fd < 0 || !rv_send(fd, text, (size_t)n))
-		return 0;
-	rv_read_answer(fd, 4, &a);
-	close(fd);
+
+	c->fd = rv_connect(11, RV_FRONT_PORT);
+	if (c->fd < 0 || !send_request(c))
+		return false;
+	rv_read_answer(c->fd, 5, &a);
+	bool ok = a.status == 200 && a.complete;
 	rv_answer_free(&a);
-	return a.status;
+	if (!ok)
+		close(c->fd);
+	return ok;
 }
 
-static bool served(void *arg)
+static bool both_served(void *arg)
 {
+	struct client s = {.stream = true, .id = "warm-stream"};
+	struct client c = {.id = "warm-call"};
+
 	(void)arg;
-	return ask("GET", "/puxa403/0", KEY, "00000000warm") == 200;
+	if (!open_kept(&s))
+		return false;
+	close(s.fd);
+	if (!open_kept(&c))
+		return false;
+	close(c.fd);
+	return true;
 }
 
 int main(int argc, char **argv)
 {
-	char id[64];
-	unsigned int answered = 0;
+	struct client clients[2 * EACH] = {0};
 
 	rv_begin(argc > 1 ? argv[1] : "review/5");
-	rv_start_all(1, config);
-	rv_serve("i-7f3a91c2", "wuno96b", 21, 6, handle);
-	rv_serve("i-02d9e6b4", "wuno96b", 22, 6, handle);
-	rv_until(20, "a served request", served, NULL);
-	for (unsigned int round = 0; round < 3; round++)
-		for (unsigned int i = 0; i < N; i++) {
-			snprintf(id, sizeof(id), "9c41d%04x%04x", round, i);
-			rv_record("client sends %s: %s %s, %s", id,
-				  requests[i].method, sent_target(i),
-				  *requests[i].key ? "with its key"
-						   : "without a key");
-			int status = ask(requests[i].method, sent_target(i),
-					 requests[i].key, id);
-			rv_record("client gets %d for %s", status, id);
-			answered += status == 200;
-		}
-	rv_record("%u answered with 200, %u runs, %u with another path",
-		  answered, runs, changed);
-	if (!rv_trouble && answered != 3 * N)
-		rv_fail("not all calm requests were served");
-	rv_end(changed ? RV_BROKEN : RV_HELD);
+	rv_start_all(2, config);
+	rv_serve("i-7f3a91c2", "huvo11a", 21, 24, handle_stream);
+	rv_serve("i-02d9e6b4", "wuno96b", 22, 6, handle_call);
+	rv_until(20, "served requests", both_served, NULL);
+	for (int i = 0; i < 2 * EACH; i++) {
+		struct client *c = &clients[i];
+		c->stream = i < EACH;
+		snprintf(c->id, sizeof(c->id), "first-%d", i);
+		if (!open_kept(c))
+			rv_fail("no first answer on connection %d", i);
+		snprintf(c->id, sizeof(c->id), "%s-%d",
+			 c->stream ? "stream" : "call", i);
+	}
+	quick = false;
+	if (rv_trouble) {
+		rv_signal(11, SIGTERM);
+		term_s = rv_now();
+	}
+	rv_sleep(LEAD_S);
+	for (int i = 0; i < 2 * EACH; i++) {
+		bool sent = send_request(&clients[i]);
+		rv_record("client %s %s on a kept connection, %.2f s after "
+			  "the time of SIGTERM",
+			  sent ? "sends" : "could not send", clients[i].id,
+			  rv_trouble ? clients[i].sent_s - term_s : -1.0);
+	}
+	for (int i = 0; i < 2 * EACH; i++)
+		pthread_create(&clients[i].thread, NULL, wait_for_answer,
+			       &clients[i]);
+	for (int i = 0; i < 2 * EACH; i++)
+		pthread_join(clients[i].thread, NULL);
+	if (rv_trouble) {
+		rv_wait(11, 3);
+		rv_record("%.2f s after SIGTERM", rv_now() - term_s);
+	}
+	rv_record("%u of %d requests ended without a complete answer", lost,
+		  2 * EACH);
+	rv_end(lost ? RV_BROKEN : RV_HELD);
 }
--- a/review/harness.c
+++ b/review/harness.c
@@ -207,7 +207,7 @@
 static void write_settings(int n, bool bootstrap, char *path, size_t size)
 {
 	bool control = n < 10;
-	int zone = control ? n : (n - 11) % 3 + 1;
+	int zone = control ? (n - 1) % 3 + 1 : (n - 11) % 3 + 1;
 
 	snprintf(path, size, "%s/node%d.conf", tmp_dir, n);
 	FILE *f = fopen(path, "we");
@@ -280,6 +280,15 @@
 	return p;
 }
 
+void rv_wipe_disk(int n)
+{
+	char path[256];
+
+	snprintf(path, sizeof(path), "%s/data%d", tmp_dir, n);
+	remove_tree(path);
+	rv_record("machine %d: its disk is empty", n);
+}
+
 pid_t rv_pid(int n)
 {
 	return pids[n];
--- a/review/harness.h
+++ b/review/harness.h
@@ -43,12 +43,15 @@
 
 /* Machine n has the address 127.A.B.n; A and B are chosen at the start. */
 const char *rv_ip(int n);
-/* Starts the process of a machine: 1 to 3 serve control, 11 and up are front
- * machines.  Machines 1, 2, 3 and 11, 12, 13 are in zones 1, 2, 3. */
+/* Starts the process of a machine: 1 to 9 serve control, 11 and up are front
+ * machines.  Machines 1, 2, 3 and 11, 12, 13 are in zones 1, 2, 3, machine 4 is
+ * in zone 1 again.  The seeds are 1, 2 and 3. */
 pid_t rv_start(int n, bool bootstrap);
 /* Starts three control machines and the front machines 11 to 10 + fronts, and
  * publishes the configuration.  Waits until all fronts are ready. */
 void rv_start_all(int fronts, const char *config);
+/* Empties the disk of a machine whose process has ended. */
+void rv_wipe_disk(int n);
 pid_t rv_pid(int n);
 void rv_signal(int n, int signum);
 /* Waits for the end of the process; returns its wait status, -1 in time. */
