rep/disk: Start again on a new disk whose vote could not be saved

A control process that starts with an empty disk creates the first segment of its log before it saves the vote, which has its id. If the disk is full at that moment, or the process is killed in between, the segment is there and the vote is not, and each later start ended with "vote: damaged at offset 0: file missing", also long after there was room: a successor or a process that had lost its disk never joined, and the next loss left the group without a majority.

Records without a vote are still refused (test_missing_files).

test_disk_full plays a disk that is full from each operation of a process's life on, with the first write cut short at three places, for none to two further starts; it failed before at the first operation with a start ("full at operation 1"), and passes for all others in the code as it was. It replaces write() and others in its own program only.

--- a/src/rep/disk_load.c
+++ b/src/rep/disk_load.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -106,6 +107,26 @@
 	return 0;
 }
 
+/*
+ * Whether no record was ever written.  The first segment is created before the
+ * vote is saved, so a process that failed or was killed in between leaves it
+ * without a vote, and perhaps with a part of its header.
+ */
+static bool is_new(const struct disk *d, const struct log_files *n)
+{
+	struct stat st;
+	char name[32];
+
+	if (n->snaps->len || n->segs->len > 1)
+		return false;
+	if (!n->segs->len)
+		return true;
+	disk_seg_name(1, name);
+	return g_array_index(n->segs, uint64_t, 0) == 1 &&
+	       fstatat(d->dir_fd, name, &st, 0) == 0 &&
+	       st.st_size <= SEG_HEADER;
+}
+
 static int load_snap(struct disk *d, uint64_t index, struct rep_snap *s)
 {
 	g_autofree char *data = NULL;
@@ -397,7 +418,7 @@
 	memset(stored, 0, sizeof(*stored));
 	err = list_files(d, &n);
 	if (!err)
-		err = load_vote(d, n.segs->len || n.snaps->len, &stored->vote);
+		err = load_vote(d, !is_new(d, &n), &stored->vote);
 	for (guint i = 0; !err && i < n.snaps->len; i++) {
 		uint64_t index = g_array_index(n.snaps, uint64_t, i);
 
