rep: Let a voter that missed the bootstrap take part

A control process that failed after the other seeds had learned the id on its disk and before it had bootstrapped, as on a full disk, and that was started again without the bootstrap flag, ran and stayed connected but never took part: its id was in the list of voters, so the leader did not send it messages for a learner, which alone it accepted, and the roster saw no candidate in it. The group went on with two of three voters.

An empty voter whose id was generated for its disk has never voted under it, so it may follow a leader that has it as a voter already. Ids that are configured (--control) are as before: such a voter may have lost its disk. A process that joins this way stops asking for the bootstrap.

--- a/src/control/ctl_boot.c
+++ b/src/control/ctl_boot.c
@@ -170,6 +170,8 @@
 	struct ctl *c = round->ctl;
 
 	round->unanswered--;
+	if (rep_joined(c->rep))
+		c->bootstrap_pending = false;
 	if (c->bootstrap_pending && err == 0 &&
 	    reply->body_case == MW__FRAME__BODY_BOOTSTRAP_STATE) {
 		const Mw__BootstrapState *s = reply->bootstrap_state;
@@ -195,6 +197,9 @@
 	Mw__Frame f = MW__FRAME__INIT;
 	Mw__BootstrapGet get = MW__BOOTSTRAP_GET__INIT;
 
+	/* The leader of the group may be faster than the answers of others. */
+	if (rep_joined(c->rep))
+		c->bootstrap_pending = false;
 	if (!c->bootstrap_pending || now - c->boot_round_us < ROUND_INTERVAL_US)
 		return;
 	c->boot_round_us = now;
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -123,7 +123,8 @@
 		rep_stored_release(&stored);
 		return c->exit_error;
 	}
-	struct rep_cfg cfg = {.id = (uint32_t)c->conf->voter};
+	struct rep_cfg cfg = {.id = (uint32_t)c->conf->voter,
+			      .id_of_disk = c->conf->seed_nr > 0};
 	randombytes_buf(&cfg.seed, sizeof(cfg.seed));
 	bool disk_empty = !stored.vote.term && !stored.vote.joined &&
 			  !stored.snap.index &&
--- a/src/rep/rep.c
+++ b/src/rep/rep.c
@@ -238,9 +238,11 @@
 		/*
 		 * A voter without state may have lost its disk and with it its
 		 * votes, so it must not vote under its old id.  Learners always
-		 * have a new id.
+		 * have a new id.  One whose id belongs to the disk is a voter
+		 * already if it failed after the others had learned its id and
+		 * before it had bootstrapped.
 		 */
-		if (!from_leader || !m->learner)
+		if (!from_leader || !(m->learner || r->cfg.id_of_disk))
 			return;
 		r->vote.joined = true;
 		rep_set_term(r, m->term, m->from);
--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -172,6 +172,11 @@
 	uint32_t keep_entries; /* 1024; entries kept below a snapshot */
 	uint32_t chunk; /* REP_CHUNK; bytes of snapshot data in a message */
 	uint32_t max_uncommitted; /* 8192; entries appended and not committed */
+	/*
+	 * The id was generated for this disk, so that an empty voter has never
+	 * voted under it: a leader that has it as a voter may let it take part.
+	 */
+	bool id_of_disk;
 };
 
 /* State read by disk_load. */
@@ -226,8 +231,8 @@
 /*
  * First start of a group: each initial voter calls this once with the same list
  * and an empty disk.  An empty voter that is not bootstrapped waits for a
- * message from a leader that has it as a learner; until then it neither votes
- * nor acknowledges anything.  Returns -MW_EINVAL if the voter has state already
+ * message from a leader that has it as a learner or, with id_of_disk, as a
+ * voter; until then it neither votes nor acknowledges anything.  Returns -MW_EINVAL if the voter has state already
  * or the list is invalid.
  */
 int rep_bootstrap(struct rep *r, int64_t now, const struct rep_voters *voters);
--- a/tests/rep_group.h
+++ b/tests/rep_group.h
@@ -167,10 +167,9 @@
 	return vs;
 }
 
-static void setup(void)
+/* Starts voters 1 to n, bootstrapped with the given list. */
+static void setup_voters(uint32_t n, const struct rep_voters *vs)
 {
-	struct rep_voters vs = initial_voters(3);
-
 	now = 1000 * USEC_PER_SEC;
 	in_transit = g_ptr_array_new();
 	late_msgs = g_ptr_array_new();
@@ -180,10 +179,17 @@
 	for (uint32_t id = 1; id <= MAX_ID; id++)
 		stored_entries[id] =
 			g_ptr_array_new_with_free_func(rep_entry_unref);
-	for (uint32_t id = 1; id <= 3; id++) {
+	for (uint32_t id = 1; id <= n; id++) {
 		voters[id] = make_voter(id, NULL);
-		ck_assert_int_eq(rep_bootstrap(voters[id], now, &vs), 0);
+		ck_assert_int_eq(rep_bootstrap(voters[id], now, vs), 0);
 	}
+}
+
+static void setup(void)
+{
+	struct rep_voters vs = initial_voters(3);
+
+	setup_voters(3, &vs);
 	run_for_us(4 * USEC_PER_SEC);
 	ck_assert_uint_ne(leader(), 0);
 }
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -180,6 +180,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a voter that never takes part as it failed after the others
+ * had learned the id on its disk and before it had bootstrapped: the loss of
+ * another one would leave the group without a majority.
+ */
+START_TEST(test_voter_that_missed_bootstrap)
+{
+	struct rep_voters vs = initial_voters(3);
+	struct rep_cfg cfg = {.id = 3, .seed = 5, .id_of_disk = true};
+	struct rep_stored empty = {.vote = {.id = 3}};
+
+	teardown();
+	setup_voters(2, &vs);
+	voters[3] = rep_new(&cfg, &empty, now);
+	run_for_us(4 * USEC_PER_SEC);
+	ck_assert(saved_votes[3].joined);
+	isolated[leader()] = true;
+	run_for_us(2 * MIN_ELECTION_US);
+	check_commits(leader());
+}
+END_TEST
+
 /* Guards against a bootstrap over existing state and against invalid lists. */
 START_TEST(test_bootstrap)
 {
@@ -808,6 +830,7 @@
 	tcase_add_test(tc, test_cut_off_leader);
 	tcase_add_test(tc, test_votes);
 	tcase_add_test(tc, test_empty_disk);
+	tcase_add_test(tc, test_voter_that_missed_bootstrap);
 	tcase_add_test(tc, test_bootstrap);
 	tcase_add_test(tc, test_change_refusals);
 	tcase_add_test(tc, test_promotion_waits);
