--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -232,8 +232,8 @@
  * First start of a group: each initial voter calls this once with the same list
  * and an empty disk.  An empty voter that is not bootstrapped waits for a
  * message from a leader that has it as a learner or, with id_of_disk, as a
- * voter; until then it neither votes nor acknowledges anything.  Returns -MW_EINVAL if the voter has state already
- * or the list is invalid.
+ * voter; until then it neither votes nor acknowledges anything.  Returns
+ * -MW_EINVAL if the voter has state already or the list is invalid.
  */
 int rep_bootstrap(struct rep *r, int64_t now, const struct rep_voters *voters);
 
