--- a/tests/test_disk_full.c
+++ b/tests/test_disk_full.c
@@ -116,7 +116,7 @@
 
 static char dir[64];
 
-/* What the voter has told others, which must be there after a restart. */
+/* State that was reported as durable: it must be there after a restart. */
 static struct {
 	struct rep_vote vote;
 	uint64_t last, snap;
