conf: Name the region of each data centre

Parts that follow need to know in which region an endpoint is, and to decide in one place whether a request may go to it. The daemon knew only its own data centre.

Move the conditions under which an endpoint is usable into may_send() in src/forward/choose.c, which all choices go through.

No decision changes.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -144,6 +144,42 @@
 	return 0;
 }
 
+static int parse_dc_regions(struct conf *c, char **error)
+{
+	g_auto(GStrv) items = g_strsplit(c->dc_regions, ",", -1);
+
+	for (size_t i = 0; items[i]; i++) {
+		if (!*items[i])
+			continue;
+		if (c->dc_region_nr == CONF_DC_REGIONS_MAX)
+			return fail(error,
+				    "--dc-regions: more than %d data centres",
+				    CONF_DC_REGIONS_MAX);
+		g_auto(GStrv) fields = g_strsplit(items[i], "=", -1);
+		struct conf_dc_region *r = &c->dc_region_list[c->dc_region_nr];
+		if (g_strv_length(fields) != 2 || !name_is_valid(fields[0]) ||
+		    !name_is_valid(fields[1]))
+			return fail(error,
+				    "--dc-regions: '%s' is not DC=REGION",
+				    items[i]);
+		if (conf_region(c, fields[0]))
+			return fail(error, "--dc-regions: '%s' is listed twice",
+				    fields[0]);
+		g_strlcpy(r->dc, fields[0], sizeof(r->dc));
+		g_strlcpy(r->region, fields[1], sizeof(r->region));
+		c->dc_region_nr++;
+	}
+	return 0;
+}
+
+const char *conf_region(const struct conf *c, const char *dc)
+{
+	for (size_t i = 0; i < c->dc_region_nr; i++)
+		if (!strcmp(c->dc_region_list[i].dc, dc))
+			return c->dc_region_list[i].region;
+	return NULL;
+}
+
 /*
  * Reads a secret from a file and strips white space around it.  A file that
  * its group or other users may access is rejected.
@@ -263,6 +299,7 @@
 	    (r = parse_control(c, error)) < 0 ||
 	    (r = parse_seeds(c, error)) < 0 ||
 	    (r = parse_peers(c, error)) < 0 ||
+	    (r = parse_dc_regions(c, error)) < 0 ||
 	    (r = read_cluster_key(c, error)) < 0)
 		return r;
 	if (conf_parse_addr(c->listen, &c->listen_addr) < 0)
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -32,7 +32,14 @@
 	struct conf_addr addr;
 };
 
+/* An entry of --dc-regions. */
+struct conf_dc_region {
+	char dc[64];
+	char region[64];
+};
+
 #define CONF_CONTROL_MAX 7
+#define CONF_DC_REGIONS_MAX 128
 #define CONF_PEERS_MAX 128
 #define CONF_SEEDS_MAX 16
 #define CONF_TOLERATE_MAX 3 /* lost control hosts; needs 2 * 3 + 1 voters */
@@ -62,6 +69,8 @@
 	size_t seed_nr;
 	struct conf_peer peer_list[CONF_PEERS_MAX];
 	size_t peer_nr;
+	struct conf_dc_region dc_region_list[CONF_DC_REGIONS_MAX];
+	size_t dc_region_nr;
 	uint8_t cluster_key[CONF_KEY_BYTES]; /* all zeros if open_cluster */
 	char *endpoint_key; /* NULL: announcements need no key */
 	char *operator_key; /* first operator's key, NULL: none given */
@@ -79,6 +88,12 @@
 /* Frees what c owns and overwrites the struct with zeros. */
 void conf_release(struct conf *c);
 
+/*
+ * The region of a data centre by --dc-regions, valid as long as c; NULL if the
+ * data centre is not listed.
+ */
+const char *conf_region(const struct conf *c, const char *dc);
+
 /*
  * Parses IP:PORT with a numeric IPv4 or IPv6 address and a port of 1 to 65535;
  * the address may be in brackets.  Host names are rejected.  Returns 0 or
--- a/src/conf/flags.gen.h
+++ b/src/conf/flags.gen.h
@@ -13,6 +13,7 @@
 FLAG_INT(repeat_percent, "repeat-percent", 20, "N", "repeats that all entry hosts may send to one service, in percent of its requests (another interface)")
 FLAG_INT(repeat_spare, "repeat-spare", 40, "N", "repeats that all entry hosts may send to one service within ten seconds besides (another interface)")
 FLAG_FLAG(open_cluster, "open-cluster", 0, "", "accept other processes without a shared key; for networks that nobody else can reach")
+FLAG_LIST(dc_regions, "dc-regions", "", "DC=REGION,...", "region of each data centre; endpoints of one that is not listed are in no known region")
 FLAG_LIST(peers, "peers", "", "HOST/IP:PORT,...", "further entry processes of this data centre that may act as hub")
 FLAG_STRING(cluster_key_file, "cluster-key-file", "", "FILE", "file with the 32-byte key shared by all processes, as 64 hex digits")
 FLAG_STRING(endpoint_key_file, "endpoint-key-file", "", "FILE", "file with the key that endpoints present when they announce themselves")
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -67,6 +67,19 @@
 			!rate_has_room(&c->endpoints[i]->rate, &hosts, now);
 }
 
+/*
+ * Whether the endpoint may get the request now.  Whether it has room for it is
+ * decided later, by place.c.
+ */
+static bool may_send(const struct request *r, const struct fwd_endpoint *ep,
+		     int64_t now)
+{
+	(void)r;
+	return ep->serving && !ep->is_gone && now >= ep->avoid_until_us &&
+	       now >= ep->paused_until_us &&
+	       !health_is_unhealthy(&ep->health, now);
+}
+
 static struct candidates gather_candidates(struct request *r,
 					   const char *except_id,
 					   const char *near_dc, int64_t now)
@@ -85,10 +98,7 @@
 			continue;
 		c.endpoints[c.n] = ep;
 		c.targets[c.n++] = (struct place_target){
-			.usable = ep->serving && !ep->is_gone &&
-				  now >= ep->avoid_until_us &&
-				  now >= ep->paused_until_us &&
-				  !health_is_unhealthy(&ep->health, now),
+			.usable = may_send(r, ep, now),
 			.excluded = !strcmp(ep->id, except_id),
 			.distance = distance(near_dc, ep),
 			.slots = ep->slots,
