peer: Give up a connection that is not established in 0.4 s

The control processes were ready 0.5 s earlier: a SYN that a host sends while the other machine is down is lost, the kernel sends it again after 1 s, and the dial waited for that.

Close a connection that is not established after connect_ms (400 by default; the longest round trip is 24 ms) and dial again.

--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -534,6 +534,8 @@
 		cfg->ping_ms = 1000;
 	if (!cfg->silence_ms)
 		cfg->silence_ms = 3000;
+	if (!cfg->connect_ms)
+		cfg->connect_ms = 400;
 	if (!cfg->backoff_min_ms)
 		cfg->backoff_min_ms = 100;
 	if (!cfg->backoff_max_ms)
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -57,6 +57,12 @@
 	 * nothing sent although frames are queued; 3000.
 	 */
 	int silence_ms;
+	/*
+	 * Gives up a connection that is not established after this time, and
+	 * dials again; 400.  Shorter than the kernel's first retransmission of
+	 * a SYN, after 1 s: a SYN is lost while the other machine starts.
+	 */
+	int connect_ms;
 	int backoff_min_ms;	 /* delay of the first redial; 100 */
 	int backoff_max_ms;	 /* limit of the doubling delay; 5000 */
 	size_t max_unsent_bytes; /* send buffer of a connection; 16 MiB */
--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -252,6 +252,18 @@
 		peer_conn_closed(c, err);
 }
 
+static void start_check_timer(struct conn *c)
+{
+	const struct peer_config *cfg = &c->net->cfg;
+	/* At half the ping period both limits are exceeded only a little. */
+	ev_tstamp interval =
+		ms_to_seconds(MIN(cfg->ping_ms, cfg->silence_ms / 2)) / 2;
+
+	ev_timer_stop(cfg->loop, &c->check_timer);
+	ev_timer_set(&c->check_timer, interval, interval);
+	ev_timer_start(cfg->loop, &c->check_timer);
+}
+
 static int conn_connected(struct conn *c)
 {
 	int err = 0;
@@ -260,6 +272,7 @@
 	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &len) < 0 || err)
 		return -MW_EIO;
 	c->connecting = 0;
+	start_check_timer(c);
 	ev_io_start(c->net->cfg.loop, &c->read_watch);
 	return send_hello(c);
 }
@@ -314,7 +327,7 @@
 	struct conn *c = w->data;
 	(void)loop;
 	(void)events;
-	int err = check_timeouts(c);
+	int err = c->connecting ? -MW_ETIMEOUT : check_timeouts(c);
 	if (err < 0)
 		peer_conn_closed(c, err);
 }
@@ -338,12 +351,10 @@
 	c->started_at = c->last_rx = c->last_tx = ev_now(cfg->loop);
 	ev_io_init(&c->read_watch, on_readable, fd, EV_READ);
 	ev_io_init(&c->write_watch, on_writable, fd, EV_WRITE);
-	/* At half the ping period both limits are exceeded only a little. */
-	ev_tstamp interval =
-		ms_to_seconds(MIN(cfg->ping_ms, cfg->silence_ms / 2)) / 2;
-	ev_timer_init(&c->check_timer, on_check_timer, interval, interval);
-	c->read_watch.data = c->write_watch.data = c->check_timer.data = c;
-	ev_timer_start(cfg->loop, &c->check_timer);
+	c->read_watch.data = c->write_watch.data = c;
+	ev_init(&c->check_timer, on_check_timer);
+	c->check_timer.data = c;
+	start_check_timer(c);
 	n->n_conns++;
 	n->n_unverified += side == FRAME_ACCEPTER;
 	return c;
@@ -376,6 +387,9 @@
 	struct conn *c = conn_new(n, fd, FRAME_DIALER, d->addr);
 	c->dial = d;
 	c->connecting = 1;
+	ev_timer_stop(n->cfg.loop, &c->check_timer);
+	ev_timer_set(&c->check_timer, ms_to_seconds(n->cfg.connect_ms), 0.);
+	ev_timer_start(n->cfg.loop, &c->check_timer);
 	ev_io_start(n->cfg.loop, &c->write_watch);
 	return c;
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -2,6 +2,7 @@
 #include <check.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -434,6 +435,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a dial that waits for the kernel to repeat a lost SYN, which
+ * it does after 1 s: a process that starts beside the ones it dials, as after a
+ * loss of power, would be without them for that time.
+ */
+START_TEST(test_dial_without_answer_is_given_up)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), fill[3];
+	char addr[64];
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, len), 0);
+	/* The kernel drops further SYNs once the queue holds a connection. */
+	ck_assert_int_eq(listen(fd, 0), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	for (size_t i = 0; i < 3; i++) {
+		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(fill[i], (struct sockaddr *)&sin, sizeof(sin));
+	}
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", ntohs(sin.sin_port));
+	ck_assert_int_eq(peer_dial(a.net, addr), 0);
+	WAIT_FOR(peer_net_conns(a.net) == 1);
+	int64_t t0 = clock_mono_us();
+	WAIT_FOR(peer_net_conns(a.net) == 0);
+	ck_assert_int_lt(clock_mono_us() - t0,
+			 LONG_SILENCE_MS / 2 * USEC_PER_MSEC);
+	for (size_t i = 0; i < 3; i++)
+		close(fill[i]);
+	close(fd);
+}
+END_TEST
+
 /*
  * Guards against a peer that counts as silent because this process was paused
  * and has not read the frames that arrived meanwhile.
@@ -546,6 +581,7 @@
 	tcase_add_test(tc, test_call_timeout_cancel_and_late_reply);
 	tcase_add_test(tc, test_open_calls_fail_before_the_end);
 	tcase_add_test(tc, test_peer_that_does_not_read_is_closed);
+	tcase_add_test(tc, test_dial_without_answer_is_given_up);
 	tcase_add_test(tc, test_addresses);
 	suite_add_tcase(s, tc);
 	tc = tcase_create("silence");
