forward: Let requests wait for the first plan of a host

After a loss of power of all machines callers meet hosts that have no plan yet. Each refused with 503 at once; a caller tries again once, at another host in the same state.

A request that reaches a host in the first 3 s after its start waits for the plan, and for an endpoint to be known, for at most half of the time that its caller has left. startup.c decides how long; at most 256 wait on one host. After 3 s without a plan a host refuses at once, as before.

test_startup: 3 of 3 pass. platform/tests/early.sh passes in the release build, and gets 503 instead of 200 on the code before.

--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -217,10 +217,12 @@
 	f->loop = loop;
 	f->iface = iface;
 	f->incarnation = (uint64_t)clock_wall_us();
+	f->start_us = clock_mono_us();
 	f->rand = conf->seed ? g_rand_new_with_seed((guint32)conf->seed)
 			     : g_rand_new();
 	slog_setup(conf->host, conf->dc, "entry", f->incarnation);
 	list_init(&f->requests);
+	list_init(&f->unadmitted);
 	list_init(&f->waiting);
 	list_init(&f->source_stops);
 	f->est = est_new(NULL);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -35,6 +35,7 @@
  *   plan_parse.c    parsing of a plan in steps between other work
  *   endpoints.c     endpoints, their load and failures
  *   request.c       life of a request: admission, attempts, answer
+ *   startup.c       how long requests wait for a host that starts
  *   queue.c         requests that wait for an endpoint, and their placement
  *   choose.c        choice of an endpoint for a request or a KV copy
  *   relay.c         streams of events
@@ -117,6 +118,7 @@
 	const struct iface *iface;
 	struct hlc hlc;
 	uint64_t incarnation; /* of this process */
+	int64_t start_us;     /* when this process started */
 	GRand *rand;
 	struct peer_net *peers;	 /* connections to control processes */
 	struct fetcher *fetcher; /* HTTP client for endpoints */
@@ -153,10 +155,12 @@
 	struct output_estimator *est; /* forecast of output tokens, by route */
 	struct output_estimator *est_call_ms; /* of durations of calls */
 	struct list requests;		      /* all requests */
+	struct list unadmitted;	  /* arrived before the first plan */
 	struct list waiting;	  /* for an endpoint, by rank, then arrival */
 	struct list source_stops; /* orders that are not answered */
 	size_t n_requests;
 	size_t n_waiting;
+	size_t n_unadmitted;
 
 	struct crashes *crashes;  /* crashes.c */
 	struct list owner_checks; /* owner_check.c */
@@ -283,6 +287,8 @@
 /* ---- request.c, queue.c ---- */
 /* Handler of caller_httpd; ctx is the struct fwd. */
 void request_accept(void *ctx, struct httpd_req *http);
+/* Admits the requests that have arrived before the first plan. */
+void request_admit_all(struct fwd *f, int64_t now);
 /* Places waiting requests, refuses those that have waited too long, and takes
  * the next steps of moves that are due. */
 void request_tick(struct fwd *f, int64_t now);
--- a/src/forward/plan_parse.c
+++ b/src/forward/plan_parse.c
@@ -25,6 +25,7 @@
 	plan_unref(f->plan);
 	f->plan = plan;
 	httpd_set_idle(f->caller_httpd, plan->idle_us);
+	request_admit_all(f, now);
 	request_place_waiting(f, now);
 }
 
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -244,7 +244,7 @@
 	struct pause_state s = endpoints_pauses(r->fwd, r->service->name, now);
 
 	r->back_after_us =
-		pause_refuse_after(&s, r->arrived_us + wait_max_us(r), now);
+		pause_refuse_after(&s, r->admitted_us + wait_max_us(r), now);
 	if (!r->back_after_us)
 		return false;
 	request_refuse(r, -MW_ENOENDPOINT, "all endpoints are paused", now);
@@ -293,16 +293,29 @@
 	}
 }
 
+/* Whether a request that waits for an endpoint is to be refused. */
+static bool has_waited_too_long(const struct request *r, int64_t now)
+{
+	if (now - r->admitted_us < wait_max_us(r))
+		return false;
+	/* A host that has just started may not know the endpoints yet. */
+	return !r->no_usable_endpoint || r->held ||
+	       now - r->arrived_us >= r->startup_wait_us;
+}
+
 void request_tick(struct fwd *f, int64_t now)
 {
 	struct request *r, *tmp;
 
+	list_for_each_entry_safe (r, tmp, &f->unadmitted, wait_node)
+		if (now - r->arrived_us >= r->startup_wait_us)
+			request_refuse(r, -MW_EAGAIN, "not ready", now);
 	request_place_waiting(f, now);
 	list_for_each_entry_safe (r, tmp, &f->requests, node)
 		if (r->move.state != MOVE_NONE)
 			move_tick(r, now);
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
-		if (now - r->arrived_us < wait_max_us(r))
+		if (!has_waited_too_long(r, now))
 			continue;
 		if (r->generation && !r->held)
 			log_queue_state(r, "no_room", now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/startup.h"
 #include "policy/path.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
@@ -19,6 +20,9 @@
 /* Open requests on one host; each has buffers of about 10 KiB. */
 #define REQUESTS_MAX 3000
 
+/* Requests that may wait for the first plan. */
+#define UNADMITTED_MAX 256
+
 /* Body of an answer that is not a stream; larger ones count as failed. */
 #define BODY_MAX_BYTES (4u << 20)
 
@@ -59,8 +63,8 @@
 	.closed = on_closed,
 };
 
-static const char *const state_names[] = {"waiting", "sent", "stream",
-					  "paused"};
+static const char *const state_names[] = {"unadmitted", "waiting", "sent",
+					  "stream", "paused"};
 
 /* Logs the ids of the prompt's parts, to find what failed requests share. */
 static void log_prompt_parts(struct slog *l, const struct request *r)
@@ -191,6 +195,8 @@
 	move_release(r);
 	if (r->state == REQUEST_WAITING && r->wait_node.next != &r->wait_node)
 		f->n_waiting--;
+	if (r->state == REQUEST_UNADMITTED)
+		f->n_unadmitted--;
 	list_del(&r->wait_node);
 	list_del(&r->node);
 	ev_timer_stop(f->loop, &r->timer);
@@ -644,28 +650,83 @@
 			     (int64_t)USEC_PER_MSEC;
 }
 
-static void start_deadline_timer(struct request *r)
+static void start_deadline_timer(struct request *r, int64_t now)
 {
 	int64_t limit = r->route->timeout_us;
 
 	if (r->ask.max_wait_us && r->ask.max_wait_us < limit)
 		limit = r->ask.max_wait_us;
 	r->deadline_us = r->arrived_us + limit;
-	ev_timer_init(&r->timer, on_deadline, (double)limit / USEC_PER_SEC, 0.);
+	ev_timer_init(&r->timer, on_deadline,
+		      (double)MAX(r->deadline_us - now, 0) / USEC_PER_SEC, 0.);
 	r->timer.data = r;
 	ev_timer_start(r->fwd->loop, &r->timer);
 }
 
+/* Admits and places a request that was decoded, or refuses it. */
+static void admit_and_place(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	const char *why = "";
+	int err = admit(r, &why);
+
+	if (err < 0) {
+		request_refuse(r, err, why, now);
+		return;
+	}
+	r->admitted_us = now;
+	r->rank = r->route->rank;
+	if (r->account && r->account->rank > 0)
+		r->rank += (unsigned int)r->account->rank * ROUTE_RANKS;
+	r->generation = r->service->runs_model && r->ask.prompt_tokens;
+	start_deadline_timer(r, now);
+	request_update_need(r, now);
+	struct service_state *s = endpoints_service_state(f, r->service->name);
+	budget_add_request(&s->budget);
+	rate_window_add(&s->arrivals, now);
+	if (!drain_admits(&f->drain, r->deadline_us, forecast_end_us(r, now),
+			  now))
+		request_refuse(r, -MW_EDRAINING, "shutting down", now);
+	else
+		request_place(r, now);
+}
+
+void request_admit_all(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+
+	list_for_each_entry_safe (r, tmp, &f->unadmitted, wait_node) {
+		list_del(&r->wait_node);
+		f->n_unadmitted--;
+		r->state = REQUEST_WAITING;
+		admit_and_place(r, now);
+	}
+}
+
+/* Keeps the request until there is a plan; false if it is to be refused. */
+static bool await_plan(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+
+	if (f->plan || f->drain.active || !r->startup_wait_us ||
+	    f->n_unadmitted >= UNADMITTED_MAX)
+		return false;
+	r->state = REQUEST_UNADMITTED;
+	list_add_tail(&f->unadmitted, &r->wait_node);
+	f->n_unadmitted++;
+	request_log(r, "queued", "no plan", now);
+	return true;
+}
+
 void request_accept(void *ctx, struct httpd_req *http)
 {
 	struct fwd *f = ctx;
 	struct request *r = g_new0(struct request, 1);
-	const char *why = "malformed";
 	int64_t now = clock_mono_us();
 
 	r->fwd = f;
 	r->http = http;
-	r->arrived_us = now;
+	r->arrived_us = r->admitted_us = now;
 	r->state = REQUEST_WAITING;
 	list_add_tail(&f->requests, &r->node);
 	list_init(&r->wait_node);
@@ -675,25 +736,13 @@
 	int err = f->iface->decode_request(http, &r->ask);
 	if (err == 0 && !path_can_be_sent(r->ask.target))
 		err = -MW_EINVAL;
-	if (err == 0)
-		err = admit(r, &why);
+	r->deadline_us = now + r->ask.max_wait_us;
 	if (err < 0) {
-		r->deadline_us = now + r->ask.max_wait_us;
-		request_refuse(r, err, why, now);
+		request_refuse(r, err, "malformed", now);
 		return;
 	}
-	r->rank = r->route->rank;
-	if (r->account && r->account->rank > 0)
-		r->rank += (unsigned int)r->account->rank * ROUTE_RANKS;
-	r->generation = r->service->runs_model && r->ask.prompt_tokens;
-	start_deadline_timer(r);
-	request_update_need(r, now);
-	struct service_state *s = endpoints_service_state(f, r->service->name);
-	budget_add_request(&s->budget);
-	rate_window_add(&s->arrivals, now);
-	if (!drain_admits(&f->drain, r->deadline_us, forecast_end_us(r, now),
-			  now))
-		request_refuse(r, -MW_EDRAINING, "shutting down", now);
-	else
-		request_place(r, now);
+	r->startup_wait_us =
+		startup_wait_us(f->start_us, r->ask.max_wait_us, now);
+	if (!await_plan(r, now))
+		admit_and_place(r, now);
 }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -21,11 +21,12 @@
 #define REQUEST_LEFT_MIN_US (10 * USEC_PER_MSEC)
 
 enum request_state {
-	REQUEST_WAITING, /* for an endpoint with room */
-	REQUEST_SENT,	 /* to an endpoint; no answer yet */
-	REQUEST_STREAM,	 /* events are passed on to the caller */
-	REQUEST_PAUSED,	 /* the source of a move has ended or was stopped; the
-			    copy order or the target is still to answer */
+	REQUEST_UNADMITTED, /* waits for the first plan */
+	REQUEST_WAITING,    /* for an endpoint with room */
+	REQUEST_SENT,	    /* to an endpoint; no answer yet */
+	REQUEST_STREAM,	    /* events are passed on to the caller */
+	REQUEST_PAUSED, /* the source of a move has ended or was stopped; the
+			   copy order or the target is still to answer */
 };
 
 enum move_state {
@@ -85,8 +86,10 @@
 	unsigned int rank; /* 0 is the most urgent */
 	bool generation;   /* of a model endpoint */
 	int64_t arrived_us;
-	int64_t deadline_us; /* the caller waits no longer than this */
-	ev_timer timer;	     /* fires at the deadline */
+	int64_t admitted_us; /* later than arrived_us if there was no plan */
+	int64_t startup_wait_us; /* after its arrival; see startup.h */
+	int64_t deadline_us;	 /* the caller waits no longer than this */
+	ev_timer timer;		 /* fires at the deadline */
 
 	/* Placement. */
 	char endpoint_id[128];		/* "" while it has none */
