forward: Send requests only to the regions that their lists allow

Routes and client accounts may name allowed regions; the lists were not read, so their requests reached endpoints of any region.

Compile the lists into the plan as bit sets over the regions of the host's data centres. may_send() asks them for first attempts, retries, move targets and capacity sums; a resumed move asks again before it sends, and a copy to a target that is no longer allowed is stopped. A request follows the plan that it was admitted under and the plan in force, and a changed map of regions after SIGHUP. Where no known region is allowed, or no endpoint there is usable, the request is refused at once with 503 and not held in the queue.

--- a/src/base/err_kinds.h
+++ b/src/base/err_kinds.h
@@ -31,6 +31,10 @@
 MW_ERR(PENDING, "config_pending", 503, 1, 1,
        "A configuration change with unknown outcome affects this request.")
 MW_ERR(NOENDPOINT, "no_endpoint", 503, 1, 1, "No endpoint can take this.")
+MW_ERR(NOREGION, "no_allowed_region", 503, 1, 0,
+       "No known region is allowed by route and client account.")
+MW_ERR(REGIONDOWN, "allowed_regions_unavailable", 503, 1, 1,
+       "No endpoint of an allowed region is available.")
 MW_ERR(NOTRUN, "not_run", 503, 1, 0,
        "The call did not run and the key is closed.")
 MW_ERR(NOLEADER, "no_leader", 503, 0, 1, "The control leader is out of reach.")
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "forward/place.h"
+#include "forward/regions.h"
 #include "forward/spread.h"
 #include "policy/usage_interval.h"
 
@@ -67,16 +68,20 @@
 			!rate_has_room(&c->endpoints[i]->rate, &hosts, now);
 }
 
+bool request_is_permitted(struct request *r, const struct fwd_endpoint *ep)
+{
+	return request_region_allowed(r, ep);
+}
+
 /*
  * Whether the endpoint may get the request now.  Whether it has room for it is
  * decided later, by place.c.
  */
-static bool may_send(const struct request *r, const struct fwd_endpoint *ep,
+static bool may_send(struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
 {
-	(void)r;
-	return ep->serving && !ep->is_gone && now >= ep->avoid_until_us &&
-	       now >= ep->paused_until_us &&
+	return request_is_permitted(r, ep) && ep->serving && !ep->is_gone &&
+	       now >= ep->avoid_until_us && now >= ep->paused_until_us &&
 	       !health_is_unhealthy(&ep->health, now);
 }
 
@@ -163,6 +168,28 @@
 	}
 }
 
+bool request_any_usable(struct request *r, int64_t *back_us, int64_t now)
+{
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+	int64_t back = INT64_MAX;
+
+	*back_us = 0;
+	g_hash_table_iter_init(&iter, r->fwd->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep)) {
+		if (strcmp(ep->service, r->service->name) != 0)
+			continue;
+		if (may_send(r, ep, now))
+			return true;
+		if (request_is_permitted(r, ep) && ep->serving && !ep->is_gone)
+			back = MIN(back, MAX(ep->paused_until_us,
+					     ep->avoid_until_us));
+	}
+	if (back != INT64_MAX && back > now)
+		*back_us = back - now;
+	return false;
+}
+
 struct place_capacity request_capacity(struct request *r, int64_t now)
 {
 	struct candidates c = gather_candidates(r, "", r->fwd->conf->dc, now);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -116,6 +116,7 @@
 	}
 	g_strlcpy(ep->addr, info->addr, sizeof(ep->addr));
 	g_strlcpy(ep->dc, info->dc, sizeof(ep->dc));
+	ep->region = residency_map_dc(&f->regions, ep->dc);
 	g_strlcpy(ep->service, served_service(info), sizeof(ep->service));
 	ep->slots = info->max_batch;
 	ep->has_left = row->left;
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "forward/crashes.h"
+#include "forward/regions.h"
 #include "forward/source_stop.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
@@ -125,9 +126,24 @@
 	control_link_flush(w->data, clock_mono_us());
 }
 
+/* Swaps the regions of the settings in use for those of `next`. */
+static void reload_regions(struct fwd *f, struct conf *next)
+{
+	struct conf *conf = f->conf;
+	char *before = conf->dc_regions;
+
+	conf->dc_regions = next->dc_regions;
+	next->dc_regions = before;
+	memcpy(conf->dc_region_list, next->dc_region_list,
+	       sizeof(conf->dc_region_list));
+	conf->dc_region_nr = next->dc_region_nr;
+	regions_load(f);
+}
+
 /*
  * Takes over, from settings that are sound as a whole, what can change while
- * the process runs: the time for a stop and the limits of repeats.
+ * the process runs: the time for a stop, the limits of repeats and the regions
+ * of the data centres.
  */
 static void reload_settings(struct fwd *f)
 {
@@ -142,6 +158,8 @@
 		conf->drain_timeout_ms = next.drain_timeout_ms;
 		conf->repeat_percent = next.repeat_percent;
 		conf->repeat_spare = next.repeat_spare;
+		if (strcmp(conf->dc_regions, next.dc_regions) != 0)
+			reload_regions(f, &next);
 		struct slog l = slog_begin("reload");
 		slog_int(&l, "drain_timeout_ms", conf->drain_timeout_ms);
 		slog_int(&l, "repeat_percent", conf->repeat_percent);
@@ -227,6 +245,7 @@
 	f->est_call_ms = est_new(NULL);
 	f->fetcher = fetcher_new(loop, IDLE_CONNS_MAX);
 	endpoints_start(f);
+	regions_load(f);
 	crashes_start(f);
 	plan_parse_init(f);
 	int r = control_link_start(f);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -23,6 +23,7 @@
 #include "policy/est.h"
 #include "policy/owner.h"
 #include "policy/registry.h"
+#include "policy/residency.h"
 
 /*
  * An entry host that forwards requests unchanged.  The formats that callers and
@@ -37,6 +38,7 @@
  *   request.c       life of a request: admission, attempts, answer
  *   queue.c         requests that wait for an endpoint, and their placement
  *   choose.c        choice of an endpoint for a request or a KV copy
+ *   regions.c       regions that a request may be sent to
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
  *   source_stop.c   the end of a moved generation at its former endpoint
@@ -58,6 +60,7 @@
 	char addr[64];
 	char dc[64];
 	char service[128];
+	int region; /* of dc in fwd::regions */
 	uint64_t incarnation;
 	unsigned int slots; /* requests that it runs at the same time */
 	bool serving;
@@ -143,6 +146,10 @@
 	int64_t avoid_until_us;	    /* for avoid_host */
 	unsigned int n_hosts;	    /* entry hosts, this one included */
 
+	/* regions.c */
+	struct residency_map regions;
+	uint64_t regions_version; /* of the map; from 1 */
+
 	/* endpoints.c */
 	struct registry *registry;
 	GHashTable *endpoints; /* id to struct fwd_endpoint */
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -134,7 +134,11 @@
 		begin_copy(r, now);
 		return;
 	}
-	if (now < ep->paused_until_us) {
+	/* The lists of regions may have changed while the copy was made. */
+	bool permitted = request_is_permitted(r, ep);
+	if (!permitted)
+		counter_add(C_RESIDENCY, "move", 1);
+	if (now < ep->paused_until_us || !permitted) {
 		move_target_failed(r, now);
 		return;
 	}
@@ -327,8 +331,30 @@
 	}
 }
 
+/*
+ * Stops a copy to an endpoint that the request may no longer be at.  It could
+ * go on for longer than the 3 s within which a change of regions is in force.
+ * Closing the order's connection tells the source that the copy is not wanted.
+ */
+static bool stop_forbidden_copy(struct request *r, int64_t now)
+{
+	const struct fwd_endpoint *target =
+		endpoints_find(r->fwd, r->move.target.endpoint_id);
+
+	if (!r->move.copy_fetch || !target || request_is_permitted(r, target))
+		return false;
+	fetch_cancel(r->move.copy_fetch);
+	r->move.copy_fetch = NULL;
+	counter_add(C_RESIDENCY, "copy", 1);
+	log_move(r, "not allowed", now);
+	retry_or_give_up(r, now);
+	return true;
+}
+
 void move_tick(struct request *r, int64_t now)
 {
+	if (stop_forbidden_copy(r, now))
+		return;
 	if (now < r->move.due_us)
 		return;
 	if (r->move.state == MOVE_WAIT) {
--- a/src/forward/plan.c
+++ b/src/forward/plan.c
@@ -21,6 +21,7 @@
 	g_free(r->host);
 	g_free(r->prefix);
 	g_free(r->backends);
+	g_free(r->regions.names);
 	g_free(r);
 }
 
@@ -29,6 +30,7 @@
 	struct plan_account *a = p;
 
 	g_free(a->name);
+	g_free(a->regions.names);
 	g_free(a);
 }
 
@@ -45,6 +47,7 @@
 	p->services = g_ptr_array_new_with_free_func(service_free);
 	p->routes = g_ptr_array_new_with_free_func(route_free);
 	p->accounts = g_ptr_array_new_with_free_func(account_free);
+	p->region_names = g_string_chunk_new(256);
 	p->by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	p->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -67,6 +70,7 @@
 	g_ptr_array_unref(p->services);
 	g_ptr_array_unref(p->routes);
 	g_ptr_array_unref(p->accounts);
+	g_string_chunk_free(p->region_names);
 	g_free(p);
 }
 
@@ -122,6 +126,33 @@
 	return 0;
 }
 
+void plan_add_region(struct plan *p, struct plan_regions *list,
+		     const char *name)
+{
+	list->names = g_renew(const char *, list->names, list->n + 1);
+	list->names[list->n++] =
+		g_string_chunk_insert_const(p->region_names, name);
+	list->allowed.restricted = true;
+}
+
+static void bind_regions(struct plan_regions *list,
+			 const struct residency_map *m)
+{
+	list->allowed = residency_from_names(m, list->names, list->n);
+}
+
+void plan_bind_regions(struct plan *p, const struct residency_map *m)
+{
+	for (guint i = 0; i < p->routes->len; i++) {
+		struct plan_route *r = p->routes->pdata[i];
+		bind_regions(&r->regions, m);
+	}
+	for (guint i = 0; i < p->accounts->len; i++) {
+		struct plan_account *a = p->accounts->pdata[i];
+		bind_regions(&a->regions, m);
+	}
+}
+
 /* Longest prefix first; equal lengths by text, for a stable order. */
 static int compare_prefix_length(const void *a, const void *b)
 {
@@ -183,6 +214,17 @@
 	return g_hash_table_lookup(p->by_key, key);
 }
 
+const struct plan_account *plan_account_by_name(const struct plan *p,
+						const char *name)
+{
+	for (guint i = 0; i < p->accounts->len; i++) {
+		const struct plan_account *a = p->accounts->pdata[i];
+		if (!strcmp(a->name, name))
+			return a;
+	}
+	return NULL;
+}
+
 const struct plan_service *plan_choose_backend(const struct plan_route *r,
 					       uint32_t spread)
 {
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -6,12 +6,22 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "policy/residency.h"
+
 /*
  * A published plan: the services, routes and client accounts of a document,
- * compiled for look-up.  Immutable once plan_index_routes() was called, and
- * reference counted; a request holds the plan that it was admitted under.
+ * compiled for look-up.  Immutable once plan_index_routes() was called, except
+ * for the region sets, and reference counted; a request holds the plan that it
+ * was admitted under.
  */
 
+/* The regions that a route or an account allows. */
+struct plan_regions {
+	const char **names;	  /* interned in plan::region_names */
+	size_t n;		  /* 0: no restriction */
+	struct residency allowed; /* no region until plan_bind_regions() */
+};
+
 struct plan_service {
 	char *name;
 	char *health_path;
@@ -52,11 +62,13 @@
 	struct plan_route_backend *backends;
 	size_t n_backends;
 	unsigned int weight_sum;
+	struct plan_regions regions;
 };
 
 struct plan_account {
 	char *name;
 	int rank; /* of all its requests, -1: that of the route */
+	struct plan_regions regions;
 };
 
 struct plan {
@@ -69,8 +81,11 @@
 				document has no accounts at all */
 	GHashTable *by_key;  /* caller's key to struct plan_account */
 	GHashTable *by_host; /* host to GPtrArray of struct plan_route */
-	int64_t idle_us;     /* for which a caller's connection may be idle, 0:
-				not stated */
+	GStringChunk *region_names;
+	uint64_t regions_version; /* of the map that the region sets are bound
+				     to, 0: none */
+	int64_t idle_us; /* for which a caller's connection may be idle, 0:
+			    not stated */
 };
 
 /* Returns an empty plan with one reference. */
@@ -93,6 +108,11 @@
 		      unsigned int weight);
 /* Returns 0, or -MW_EINVAL if another account has the key. */
 int plan_add_key(struct plan *p, const char *key, struct plan_account *a);
+/* Adds an allowed region to a route or an account of the plan. */
+void plan_add_region(struct plan *p, struct plan_regions *list,
+		     const char *name);
+/* Binds the region sets of all routes and accounts to the map. */
+void plan_bind_regions(struct plan *p, const struct residency_map *m);
 /* Builds the look-up of routes; called once, after all routes are added. */
 void plan_index_routes(struct plan *p);
 
@@ -107,6 +127,8 @@
 const struct plan_route *plan_route(const struct plan *p, const char *host,
 				    const char *target);
 const struct plan_account *plan_account(const struct plan *p, const char *key);
+const struct plan_account *plan_account_by_name(const struct plan *p,
+						const char *name);
 
 /*
  * Chooses a service of the route by weight; `spread` is uniform over 0 to
--- a/src/forward/plan_parse.c
+++ b/src/forward/plan_parse.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/regions.h"
 #include "obs/slog.h"
 
 /*
@@ -22,6 +23,7 @@
 		plan_unref(plan);
 		return;
 	}
+	regions_bind_plan(f, plan);
 	plan_unref(f->plan);
 	f->plan = plan;
 	httpd_set_idle(f->caller_httpd, plan->idle_us);
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "forward/regions.h"
+#include "obs/counter.h"
 #include "obs/slog.h"
 
 /*
@@ -251,6 +253,31 @@
 	return true;
 }
 
+/*
+ * Refuses and frees a request with a list of regions if no endpoint there can
+ * get it now.  It is not held: if a region is down, nobody knows until when,
+ * and its caller may be served by another host that reaches the region.
+ */
+static bool refuse_outside_regions(struct request *r, int64_t now)
+{
+	const struct residency *allowed = request_residency(r);
+
+	if (!allowed->restricted)
+		return false;
+	if (residency_is_empty(allowed)) {
+		counter_add(C_RESIDENCY, "no_region", 1);
+		request_refuse(r, -MW_ENOREGION, "no known region is allowed",
+			       now);
+		return true;
+	}
+	if (request_any_usable(r, &r->back_after_us, now))
+		return false;
+	counter_add(C_RESIDENCY, "no_endpoint", 1);
+	request_refuse(r, -MW_EREGIONDOWN,
+		       "no usable endpoint in the allowed regions", now);
+	return true;
+}
+
 void request_place(struct request *r, int64_t now)
 {
 	bool any_usable = true;
@@ -264,6 +291,8 @@
 		request_refuse(r, -MW_EDEADLINE, "no time left", now);
 		return;
 	}
+	if (refuse_outside_regions(r, now))
+		return;
 	if (v != BLAME_HOLD && place_judged(r, v, &finding, &any_usable, now))
 		return;
 	if (!any_usable && refuse_if_paused(r, now))
@@ -288,6 +317,8 @@
 		struct crashes_finding finding;
 		enum blame_verdict v = judge(r, &finding, now);
 
+		if (v == BLAME_REFUSE || refuse_outside_regions(r, now))
+			continue;
 		if (v == BLAME_SEND || v == BLAME_TRY)
 			place_judged(r, v, &finding, &any_usable, now);
 	}
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/regions.h"
 #include "policy/path.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
@@ -102,8 +103,10 @@
 		slog_int(&l, "pause_us", r->longest_gap_us);
 		slog_int(&l, "pause_ended_us", now - r->longest_gap_end_us);
 	}
-	if (!succeeded)
+	if (!succeeded) {
+		request_log_regions(&l, r);
 		log_prompt_parts(&l, r);
+	}
 	slog_end(&l);
 }
 
@@ -211,6 +214,9 @@
 	int64_t time_left_us = r->deadline_us - now;
 	int64_t us = RETRY_CALL_US;
 
+	/* When a region is back is known only of pauses. */
+	if (err == -MW_EREGIONDOWN && !r->back_after_us)
+		return 0;
 	if (!err_info(err)->retryable && err != -MW_EAGAIN)
 		return 0;
 	if (!r->plan) /* just started, as other hosts may have been too */
@@ -249,6 +255,7 @@
 	slog_str(&l, "endpoint",
 		 *r->endpoint_id ? r->endpoint_id : r->previous_endpoint_id);
 	slog_int(&l, "waiting", (int64_t)f->n_waiting);
+	request_log_regions(&l, r);
 	log_prompt_parts(&l, r);
 	slog_end(&l);
 	counter_add(C_REFUSED, err_info(err)->kind, 1);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -103,6 +103,9 @@
 	int64_t back_after_us;	 /* when an endpoint is back; 0: unknown */
 	uint64_t need_tokens;	 /* memory needed when it ends */
 	uint64_t prefill_tokens; /* prompt tokens not processed yet */
+	struct residency residency;  /* regions.c */
+	uint64_t residency_version;  /* of the map that it is bound to */
+	uint64_t residency_revision; /* of the plan then in force */
 
 	/* Answer. */
 	int status;	      /* HTTP status, 0: none yet */
@@ -148,7 +151,18 @@
 					     const char *near_dc,
 					     bool *any_usable, int64_t now);
 
-/* Capacity of all endpoints of the request's service. */
+/*
+ * Whether an endpoint of the request's service may get it now.  If none may,
+ * *back_us is the time after which a pause or the time for which one is avoided
+ * ends; 0: unknown.
+ */
+bool request_any_usable(struct request *r, int64_t *back_us, int64_t now);
+
+/* Whether the request may be at the endpoint at all, whatever the endpoint's
+ * present state. */
+bool request_is_permitted(struct request *r, const struct fwd_endpoint *ep);
+
+/* Capacity of the endpoints of the request's service that may get it. */
 struct place_capacity request_capacity(struct request *r, int64_t now);
 
 /* Whether the route's target latency is so short that it should not wait. */
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -78,6 +78,8 @@
 	"Forwarded requests that were sent to another endpoint.")
 COUNTER(MOVES, "mustardwall_moves_total", "steps", "outcome",
 	"Steps of moving generations to other endpoints, by outcome.")
+COUNTER(RESIDENCY, "mustardwall_residency_blocked_total", "requests", "reason",
+	"Refusals, moves and copies that allowed regions decided, by reason.")
 COUNTER(ENDPOINT_PAUSES, "mustardwall_endpoint_pauses_total", "pauses", NULL,
 	"Pauses that endpoints asked for when they turned a request away.")
 COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
