control, forward: Evacuate a data centre by order of an operator

POST /evacuate/ZONE was answered with 404; nothing could keep requests away from the endpoints of a data centre.

An order is a change of the node dcs/DC of the tree (keys evacuated, evacuated_by, evacuated_since_ms), so it is as durable as a configuration. Orders come before queued changes, and documents no longer fail on a base version that an order has overtaken: both are applied to the version in force when their turn comes.

Hosts get the list with the answer to their request for the plan, whose text is left out when it is not newer, and ignore older versions. A host without a plan gets its first answer only once the leader has confirmed that the answering process has all that was committed before. may_send() heeds the list, a copied generation is checked again before it resumes, generations move to other data centres, and a request whose service has only evacuated endpoints is refused at once with 503.

Release build: platform/tests/evacuate.sh, moves.sh, platform.sh and successor.sh pass; unit tests of place, config, config_random, tree, sm, state_random, conf, use, status, counter, event, hub, hub_order, dispatch, cli, plan, rep and pause pass.

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "control/ctl_admin.h"
 #include "control/ctl_document.h"
+#include "control/ctl_evacuate.h"
 #include "control/ctl_feed.h"
 #include "control/ctl_poll.h"
 #include "control/ctl_roster.h"
@@ -162,6 +163,7 @@
 	c->leading = false;
 	ctl_change_fail_all(c);
 	ctl_order_fail_all(c);
+	ctl_evacuate_fail_all(c);
 	ctl_log_fail_pending(c);
 	lease_free(c->leases);
 	c->leases = NULL;
@@ -461,6 +463,7 @@
 	}
 	if (c->roster)
 		ctl_roster_tick(c->roster, now);
+	ctl_evacuate_tick(c, now);
 	ctl_document_tick(c, now);
 	ctl_feed_tick(c->feed, now);
 	if (c->poll)
@@ -647,6 +650,9 @@
 	list_init(&c->orders);
 	list_init(&c->publications);
 	list_init(&c->document_reads);
+	list_init(&c->document_waits);
+	list_init(&c->evacuation_calls);
+	list_init(&c->evacuation_orders);
 	ctl_log_fail_pending(c);
 	c->boot_incarnations = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, NULL);
@@ -699,6 +705,8 @@
 		httpd_free(c->admin);
 	if (c->leading)
 		end_leading(c);
+	ctl_evacuate_stop(c);
+	ctl_document_stop(c);
 	ctl_roster_free(c->roster);
 	if (c->peers)
 		peer_net_free(c->peers);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -18,6 +18,7 @@
 #include "net/httpd.h"
 #include "net/peer.h"
 #include "obs/event.h"
+#include "policy/evacuation.h"
 #include "rep/disk.h"
 #include "rep/rep.h"
 #include "state/sm.h"
@@ -37,6 +38,7 @@
  *   ctl_spill.c   loan requests to the hubs of other data centres, and theirs
  *   ctl_roster.c  control processes found through seeds, voters
  *   ctl_document.c  documents that operators publish as a whole
+ *   ctl_evacuate.c  orders to evacuate a data centre
  *   ctl_feed.c    updates to entry hosts: tree, endpoints, the load that other
  *                 entry hosts put on the endpoints
  *   ctl_poll.c    polls the model endpoints of its data centre for their load
@@ -49,6 +51,7 @@
 struct ctl_roster;
 struct ctl_feed;
 struct ctl_poll;
+struct evacuation_order;
 struct iface;
 
 /*
@@ -62,6 +65,8 @@
 struct ctl_change {
 	struct list node;
 	Mw__Change *msg;
+	bool blind;	      /* made from no version: applies to any */
+	int64_t not_after_us; /* begins no later than this; 0: any time */
 	ctl_result_fn fn;
 	void *ctx;
 };
@@ -135,10 +140,15 @@
 	struct ctl_status *status;
 	struct ctl_roster *roster; /* with --seeds */
 	struct ctl_feed *feed;
-	struct ctl_poll *poll;	    /* with iface only */
-	struct list publications;   /* ctl_document.c: queued publications */
-	struct list document_reads; /* ctl_document.c: unconfirmed reads */
-	bool publishing;	    /* a publication is being committed */
+	struct ctl_poll *poll;	       /* with iface only */
+	struct list publications;      /* ctl_document.c: queued publications */
+	struct list document_reads;    /* ctl_document.c: unconfirmed reads */
+	bool publishing;	       /* a publication is being committed */
+	struct evacuation evacuation;  /* of the tree in force */
+	struct list evacuation_calls;  /* ctl_evacuate.c: calls to answer */
+	struct list evacuation_orders; /* ctl_evacuate.c: queued, as leader */
+	struct evacuation_order *evacuating; /* being committed, or NULL */
+	struct list document_waits; /* ctl_document.c: hosts to answer */
 	const struct iface *iface;  /* NULL: the product's own interfaces */
 	struct httpd *iface_httpd;  /* serves iface on the listen address */
 	struct hub *hub;
@@ -220,6 +230,20 @@
  */
 void ctl_change_submit(struct ctl *c, const Mw__Change *msg, ctl_result_fn fn,
 		       void *ctx);
+/*
+ * As ctl_change_submit(), for a change that sets the same values whatever the
+ * version: it is applied to the version in force when its turn comes, so it
+ * cannot conflict with changes before it.
+ */
+void ctl_change_submit_blind(struct ctl *c, const Mw__Change *msg,
+			     ctl_result_fn fn, void *ctx);
+/*
+ * As ctl_change_submit_blind(), before all queued changes; fn gets
+ * -MW_EDEADLINE if the change has not begun at not_after_us, without effect.
+ */
+void ctl_change_submit_urgent(struct ctl *c, const Mw__Change *msg,
+			      int64_t not_after_us, ctl_result_fn fn,
+			      void *ctx);
 void ctl_change_ack(struct ctl *c, const Mw__PrepareAck *ack);
 void ctl_change_tick(struct ctl *c, int64_t now);
 /* The entry of a change was applied. */
--- a/src/control/ctl_admin.c
+++ b/src/control/ctl_admin.c
@@ -8,6 +8,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_document.h"
+#include "control/ctl_evacuate.h"
 #include "control/ctl_status.h"
 #include "obs/counter.h"
 
@@ -516,6 +517,10 @@
 	{"order", true, post_order},
 	{"document/publish", true, ctl_document_post},
 	{"document/read", true, ctl_document_get},
+	{"document/version", true, ctl_document_get_version},
+	{"evacuate", false, ctl_evacuate_post},
+	{"evacuate/ticket", true, ctl_evacuate_ticket},
+	{"evacuate/order", false, ctl_evacuate_order},
 };
 
 /* A request that the leader is to answer. */
--- a/src/control/ctl_change.c
+++ b/src/control/ctl_change.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_evacuate.h"
 #include "control/ctl_feed.h"
 
 /*
@@ -185,6 +186,12 @@
 	struct tree *t;
 
 	list_del(&sub->node);
+	if (sub->not_after_us && now > sub->not_after_us) {
+		reply_and_free(sub, -MW_EDEADLINE, NULL);
+		return;
+	}
+	if (sub->blind)
+		sub->msg->base_version = tree_version(sm_tree(c->sm));
 	Mw__Result *result = sm_check_change(c->sm, sub->msg);
 	if (result) {
 		reply_refused(c, sub, result);
@@ -249,8 +256,23 @@
 	return false;
 }
 
+/* Ends the queued changes that have not begun in time. */
+static void drop_expired(struct ctl *c, int64_t now)
+{
+	struct ctl_change *sub, *tmp;
+
+	list_for_each_entry_safe (sub, tmp, &c->changes, node) {
+		if (!sub->not_after_us || now <= sub->not_after_us)
+			continue;
+		list_del(&sub->node);
+		reply_and_free(sub, -MW_EDEADLINE, NULL);
+		return; /* the callback may have changed the list */
+	}
+}
+
 void ctl_change_tick(struct ctl *c, int64_t now)
 {
+	drop_expired(c, now);
 	decide_current(c, now);
 	if (c->change && !c->change_appended &&
 	    now - c->last_prepare_us > PREPARE_RETRY_US) {
@@ -265,26 +287,58 @@
 	}
 }
 
-void ctl_change_submit(struct ctl *c, const Mw__Change *msg, ctl_result_fn fn,
-		       void *ctx)
+static struct ctl_change *submission_new(const Mw__Change *msg,
+					 ctl_result_fn fn, void *ctx)
+{
+	struct ctl_change *sub = g_new0(struct ctl_change, 1);
+
+	sub->msg = copy_change(msg);
+	sub->fn = fn;
+	sub->ctx = ctx;
+	return sub;
+}
+
+static void enqueue(struct ctl *c, struct ctl_change *sub)
 {
-	struct ctl_change *sub, *entry;
+	struct ctl_change *entry;
 	size_t queued = 0;
 
 	list_for_each_entry (entry, &c->changes, node)
 		queued++;
 	if (queued >= CHANGES_QUEUED_MAX) {
-		fn(-MW_EQUEUEFULL, NULL, ctx);
+		reply_and_free(sub, -MW_EQUEUEFULL, NULL);
 		return;
 	}
-	sub = g_new0(struct ctl_change, 1);
-	sub->msg = copy_change(msg);
-	sub->fn = fn;
-	sub->ctx = ctx;
 	list_add_tail(&c->changes, &sub->node);
 	ctl_change_tick(c, clock_mono_us());
 }
 
+void ctl_change_submit(struct ctl *c, const Mw__Change *msg, ctl_result_fn fn,
+		       void *ctx)
+{
+	enqueue(c, submission_new(msg, fn, ctx));
+}
+
+void ctl_change_submit_blind(struct ctl *c, const Mw__Change *msg,
+			     ctl_result_fn fn, void *ctx)
+{
+	struct ctl_change *sub = submission_new(msg, fn, ctx);
+
+	sub->blind = true;
+	enqueue(c, sub);
+}
+
+void ctl_change_submit_urgent(struct ctl *c, const Mw__Change *msg,
+			      int64_t not_after_us, ctl_result_fn fn, void *ctx)
+{
+	struct ctl_change *sub = submission_new(msg, fn, ctx);
+
+	sub->blind = true;
+	sub->not_after_us = not_after_us;
+	list_add(&c->changes, &sub->node);
+	ctl_change_tick(c, clock_mono_us());
+}
+
 void ctl_change_ack(struct ctl *c, const Mw__PrepareAck *ack)
 {
 	if (!c->change || c->change_appended)
@@ -327,6 +381,7 @@
 	tree_unref(*slot);
 	*slot = tree_ref(t);
 	drop_large_versions(c);
+	ctl_evacuate_tree_changed(c);
 }
 
 void ctl_change_applied(struct ctl *c, const Mw__Change *msg,
--- a/src/control/ctl_document.c
+++ b/src/control/ctl_document.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_admin.h"
 #include "obs/slog.h"
 
 /* Operators have only a few publications in flight. */
@@ -19,6 +20,9 @@
 /* A read fails after this; a majority confirms within a round trip. */
 #define READ_TIMEOUT_US (800 * USEC_PER_MSEC)
 
+/* A host asks another process when it has got no answer for 0.8 s. */
+#define HOST_WAIT_US (700 * USEC_PER_MSEC)
+
 struct publication {
 	struct list node;
 	struct ctl *ctl;
@@ -32,12 +36,24 @@
 
 struct document_read {
 	struct list node;
-	char name[64];
+	char name[64]; /* "": the version of the tree is read */
 	int64_t started_us;
 	ctl_document_fn fn;
 	void *ctx;
 };
 
+/* A host without a document, which is answered with confirmed state only. */
+struct document_wait {
+	struct list node; /* in ctl::document_waits */
+	struct ctl *ctl;
+	struct peer_rpc rpc;
+	char name[64];
+	int64_t started_us;
+	bool asking;	  /* the leader is asked for the version */
+	uint64_t version; /* of the tree that the answer needs; 0: unknown */
+	int refs;	  /* of the list and of an open question */
+};
+
 static void document_path(const char *name, char *out, size_t size)
 {
 	snprintf(out, size, "documents/%s", name);
@@ -51,6 +67,8 @@
 	return tree_resolve(sm_tree(c->sm), path, key, NULL);
 }
 
+static void tick_waits(struct ctl *c, int64_t now);
+
 static uint64_t current_revision(struct ctl *c, const char *name)
 {
 	AUTO_JSON json_t *v = document_value(c, name, "revision");
@@ -107,13 +125,12 @@
 	edits[1].key = "body";
 	edits[1].value = value;
 	change.id = id;
-	change.base_version = tree_version(sm_tree(c->sm));
 	change.edits = list;
 	change.n_edits = 2;
 	change.operator_name = "publisher";
 	c->publishing = true;
 	g_clear_pointer(&p->body, g_free); /* value has it */
-	ctl_change_submit(c, &change, on_change_result, p);
+	ctl_change_submit_blind(c, &change, on_change_result, p);
 }
 
 static void acknowledge_overtaken(struct ctl *c)
@@ -147,6 +164,7 @@
 
 void ctl_document_tick(struct ctl *c, int64_t now)
 {
+	tick_waits(c, now);
 	if (!ctl_is_leader(c, now))
 		return;
 	acknowledge_overtaken(c);
@@ -201,8 +219,14 @@
 	rep_request_confirmation(c->rep, r->started_us);
 }
 
+static void version_read_end(struct ctl *c, struct document_read *r, int err);
+
 static void read_end(struct ctl *c, struct document_read *r, int err)
 {
+	if (!*r->name) {
+		version_read_end(c, r, err);
+		return;
+	}
 	AUTO_JSON json_t *body =
 		err < 0 ? NULL : document_value(c, r->name, "body");
 	const char *text = json_string_value(body);
@@ -214,10 +238,24 @@
 	g_free(r);
 }
 
+/* As read_end(), for a read of the tree's version. */
+static void version_read_end(struct ctl *c, struct document_read *r, int err)
+{
+	g_autofree char *json =
+		g_strdup_printf("{\"version\":%" G_GUINT64_FORMAT "}",
+				tree_version(sm_tree(c->sm)));
+
+	list_del(&r->node);
+	r->fn(err, err < 0 ? NULL : json, err < 0 ? 0 : strlen(json), r->ctx);
+	g_free(r);
+}
+
 void ctl_document_confirm(struct ctl *c, int64_t now)
 {
 	struct document_read *r, *tmp;
 
+	tick_waits(c, now);
+
 	if (list_empty(&c->document_reads))
 		return;
 	int64_t confirmed_us =
@@ -280,24 +318,110 @@
 	return c->compressed_document.len > 0;
 }
 
-void ctl_document_serve(struct ctl *c, struct peer *from, const Mw__Frame *f)
+/* confirmed: the document may be the host's first one. */
+static void answer_host(struct ctl *c, struct peer_rpc rpc, const char *name,
+			uint64_t have, bool confirmed)
 {
-	const Mw__DocumentGet *get = f->document_get;
 	Mw__Frame reply = MW__FRAME__INIT;
 	Mw__DocumentText doc = MW__DOCUMENT_TEXT__INIT;
 
 	/* Version 0 is older than any that the host has: it asks again. */
-	doc.version = c->caught_up ? tree_version(sm_tree(c->sm)) : 0;
-	doc.revision = c->caught_up ? current_revision(c, get->name) : 0;
-	if (doc.revision > get->have &&
-	    compress_document(c, get->name, doc.revision)) {
+	confirmed = confirmed && c->caught_up;
+	doc.version = confirmed ? tree_version(sm_tree(c->sm)) : 0;
+	doc.revision = confirmed ? current_revision(c, name) : 0;
+	if (confirmed) {
+		doc.evacuated = c->evacuation.dcs;
+		doc.n_evacuated = c->evacuation.dcs
+					  ? g_strv_length(c->evacuation.dcs)
+					  : 0;
+	}
+	if (doc.revision > have && compress_document(c, name, doc.revision)) {
 		doc.text_z.data = c->compressed_document.text;
 		doc.text_z.len = c->compressed_document.len;
 		doc.text_len = c->compressed_document.text_len;
 	}
 	reply.body_case = MW__FRAME__BODY_DOCUMENT_TEXT;
 	reply.document_text = &doc;
-	peer_reply(c->peers, peer_rpc(from, f), &reply);
+	peer_reply(c->peers, rpc, &reply);
+}
+
+static void wait_unref(struct document_wait *w)
+{
+	if (!--w->refs)
+		g_free(w);
+}
+
+static void wait_end(struct document_wait *w, bool confirmed)
+{
+	answer_host(w->ctl, w->rpc, w->name, 0, confirmed);
+	list_del(&w->node);
+	list_init(&w->node);
+	wait_unref(w);
+}
+
+static void on_version_confirmed(void *arg, int status, const char *json,
+				 size_t len)
+{
+	struct document_wait *w = arg;
+	AUTO_JSON json_t *obj = json_loadb(json, len, 0, NULL);
+	json_int_t version =
+		json_integer_value(json_object_get(obj, "version"));
+
+	w->asking = false;
+	if (status == 200 && version > 0)
+		w->version = (uint64_t)version;
+	wait_unref(w);
+}
+
+static void wait_ask_leader(struct document_wait *w)
+{
+	Mw__AdminCall call = MW__ADMIN_CALL__INIT;
+
+	call.path = (char *)"document/version";
+	w->asking = true;
+	w->refs++;
+	ctl_admin_call(w->ctl, &call, on_version_confirmed, w);
+}
+
+/* Answers the hosts whose answer is confirmed or that waited too long. */
+static void tick_waits(struct ctl *c, int64_t now)
+{
+	struct document_wait *w, *tmp;
+
+	list_for_each_entry_safe (w, tmp, &c->document_waits, node) {
+		if (w->version && tree_version(sm_tree(c->sm)) >= w->version)
+			wait_end(w, true);
+		else if (now - w->started_us > HOST_WAIT_US)
+			wait_end(w, false);
+		else if (!w->version && !w->asking)
+			wait_ask_leader(w);
+	}
+}
+
+void ctl_document_stop(struct ctl *c)
+{
+	struct document_wait *w, *tmp;
+
+	list_for_each_entry_safe (w, tmp, &c->document_waits, node)
+		wait_end(w, false);
+}
+
+void ctl_document_serve(struct ctl *c, struct peer *from, const Mw__Frame *f)
+{
+	const Mw__DocumentGet *get = f->document_get;
+
+	if (get->have || !c->caught_up) {
+		answer_host(c, peer_rpc(from, f), get->name, get->have, true);
+		return;
+	}
+	struct document_wait *w = g_new0(struct document_wait, 1);
+	w->ctl = c;
+	w->rpc = peer_rpc(from, f);
+	g_strlcpy(w->name, get->name, sizeof(w->name));
+	w->started_us = clock_mono_us();
+	w->refs = 1;
+	list_add_tail(&c->document_waits, &w->node);
+	wait_ask_leader(w);
 }
 
 /* ---- calls ---- */
@@ -351,3 +475,10 @@
 {
 	ctl_document_read(c, call->query, answer_call, call_new(fn, arg));
 }
+
+void ctl_document_get_version(struct ctl *c, const Mw__AdminCall *call,
+			      admin_reply_fn fn, void *arg)
+{
+	(void)call;
+	ctl_document_read(c, "", answer_call, call_new(fn, arg));
+}
--- a/src/control/ctl_document.h
+++ b/src/control/ctl_document.h
@@ -48,9 +48,18 @@
 void ctl_document_get(struct ctl *c, const Mw__AdminCall *call,
 		      admin_reply_fn fn, void *arg);
 
+/* Answers with the tree's version, confirmed as in ctl_document_read(). */
+void ctl_document_get_version(struct ctl *c, const Mw__AdminCall *call,
+			      admin_reply_fn fn, void *arg);
+
 /*
  * Answers a host's request for a document (Mw__DocumentGet) from the state of
  * this process, which need not be the leader.
+ *
+ * A host without a document begins to send with the answer.  It gets one only
+ * once this process has all that was committed before the request, as the
+ * leader confirms: with an older state the host would send to endpoints that
+ * are evacuated by now.
  */
 void ctl_document_serve(struct ctl *c, struct peer *from, const Mw__Frame *f);
 
@@ -63,5 +72,7 @@
  * leadership is lost.
  */
 void ctl_document_fail_all(struct ctl *c);
+/* Drops the requests of hosts that are not answered, when the process ends. */
+void ctl_document_stop(struct ctl *c);
 
 #endif
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -145,6 +145,39 @@
 	peer_send(p, &frame);
 }
 
+struct dc_sum {
+	const struct ctl_feed *feed;
+	const char *dc;
+	bool found;
+	unsigned int open;
+};
+
+static void add_to_dc_sum(const struct registry_row *row, void *arg)
+{
+	struct dc_sum *sum = arg;
+
+	if (strcmp(row->info->dc, sum->dc) != 0)
+		return;
+	sum->found = true;
+	sum->open += use_endpoint_streams(sum->feed->use, row->info->id);
+}
+
+bool ctl_feed_has_dc(const struct ctl_feed *f, const char *dc)
+{
+	struct dc_sum sum = {.feed = f, .dc = dc};
+
+	registry_for_each(f->registry, add_to_dc_sum, &sum);
+	return sum.found;
+}
+
+unsigned int ctl_feed_open_requests(const struct ctl_feed *f, const char *dc)
+{
+	struct dc_sum sum = {.feed = f, .dc = dc};
+
+	registry_for_each(f->registry, add_to_dc_sum, &sum);
+	return sum.open;
+}
+
 /* ---- crash marks ---- */
 
 static void add_mark(const Mw__SnapCrash *mark, void *arg)
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -36,6 +36,11 @@
 void ctl_feed_report_loads(struct ctl_feed *f, Mw__UseReport *report,
 			   int64_t now);
 
+/* Whether an endpoint of the data centre is registered in this process. */
+bool ctl_feed_has_dc(const struct ctl_feed *f, const char *dc);
+/* Requests of all hosts at the endpoints of the data centre, some 0.1 s old. */
+unsigned int ctl_feed_open_requests(const struct ctl_feed *f, const char *dc);
+
 /* Call after a new version of the tree has been applied. */
 void ctl_feed_tree_changed(struct ctl_feed *f);
 
--- a/src/control/use.c
+++ b/src/control/use.c
@@ -353,6 +353,13 @@
 }
 
 /* The strings belong to the sums and the reports and are not freed. */
+unsigned int use_endpoint_streams(const struct use_table *u, const char *id)
+{
+	const struct endpoint_sum *s = g_hash_table_lookup(u->sums, id);
+
+	return s ? (unsigned int)s->row.streams : 0;
+}
+
 void use_totals_free(Mw__UseTotals *t)
 {
 	for (size_t i = 0; i < t->n_rows; i++)
--- a/src/control/use.h
+++ b/src/control/use.h
@@ -61,6 +61,9 @@
  */
 void use_update_sums(struct use_table *u, int64_t now);
 
+/* Requests of all hosts at an endpoint, by the last use_update_sums(). */
+unsigned int use_endpoint_streams(const struct use_table *u, const char *id);
+
 /*
  * Returns the sums over all hosts but `except`, for sending to that host:
  * `partial` with only the endpoints whose sums changed in the last
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -106,7 +106,7 @@
 	const struct credit_ep *c = credit_find_endpoint(e->credit, ep->id);
 	size_t hosts = h->members ? MAX(1, h->members->n_hosts) : 1;
 
-	if (cfg->drain)
+	if (cfg->drain || tree_dc_settings(h->tree, ep->dc)->evacuated)
 		return false;
 	return !c ||
 	       credit_generations(c) < MAX(1, (size_t)cfg->max_streams / hosts);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -74,12 +74,18 @@
 static bool may_send(const struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
 {
-	(void)r;
-	return ep->serving && !ep->is_gone && now >= ep->avoid_until_us &&
+	return !endpoints_is_evacuated(r->fwd, ep) && ep->serving &&
+	       !ep->is_gone && now >= ep->avoid_until_us &&
 	       now >= ep->paused_until_us &&
 	       !health_is_unhealthy(&ep->health, now);
 }
 
+bool request_may_use_endpoint(const struct request *r,
+			      const struct fwd_endpoint *ep, int64_t now)
+{
+	return may_send(r, ep, now);
+}
+
 static struct candidates gather_candidates(struct request *r,
 					   const char *except_id,
 					   const char *near_dc, int64_t now)
@@ -137,9 +143,11 @@
 	return XXH64(ep->id, strlen(ep->id), seed);
 }
 
-static bool is_leaving_with_work(const struct fwd_endpoint *ep)
+static bool is_leaving_with_work(const struct fwd *f,
+				 const struct fwd_endpoint *ep)
 {
-	return !ep->serving && !ep->has_left &&
+	return (!ep->serving || endpoints_is_evacuated(f, ep)) &&
+	       !ep->has_left &&
 	       ep->needed_here_tokens + ep->needed_elsewhere_tokens;
 }
 
@@ -157,7 +165,7 @@
 			c->targets[i].reserved =
 				c->endpoints[j] != source &&
 				!strcmp(c->endpoints[j]->dc, source->dc) &&
-				is_leaving_with_work(c->endpoints[j]) &&
+				is_leaving_with_work(r->fwd, c->endpoints[j]) &&
 				rendezvous_score(c->endpoints[j],
 						 c->endpoints[i]) > own;
 	}
@@ -194,6 +202,42 @@
 		r->need_tokens);
 }
 
+static bool is_in_region_of_host(const struct fwd *f,
+				 const struct fwd_endpoint *ep)
+{
+	const char *own = conf_region(f->conf, f->conf->dc);
+	const char *other = conf_region(f->conf, ep->dc);
+
+	return !strcmp(ep->dc, f->conf->dc) ||
+	       (own && other && !strcmp(own, other));
+}
+
+/*
+ * Moves stay in the data centre because endpoints that are reclaimed have no
+ * time for slower copies.  The endpoints of an evacuated one go on running, and
+ * all targets are elsewhere: those of the host's region are preferred.
+ */
+static enum place_result choose_target(struct candidates *c,
+				       const struct request *r, size_t *index)
+{
+	const struct fwd_endpoint *source =
+		endpoints_find(r->fwd, r->move.source_id);
+	bool leaves_dc = source && source->serving &&
+			 endpoints_is_evacuated(r->fwd, source);
+
+	for (size_t i = 0; leaves_dc && i < c->n; i++)
+		if (is_in_region_of_host(r->fwd, c->endpoints[i]))
+			c->targets[i].distance = 0;
+	enum place_result res = place_choose_move_target(c->targets, c->n,
+							 r->need_tokens, index);
+	if (!leaves_dc || res == PLACE_OK)
+		return res;
+	for (size_t i = 0; i < c->n; i++)
+		c->targets[i].distance = 0;
+	return place_choose_move_target(c->targets, c->n, r->need_tokens,
+					index);
+}
+
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
 					     const char *except_id,
 					     const char *near_dc,
@@ -213,8 +257,7 @@
 		reserve_for_other_sources(&c, r);
 	enum place_result res =
 		r->move.state != MOVE_NONE
-			? place_choose_move_target(c.targets, c.n,
-						   r->need_tokens, &index)
+			? choose_target(&c, r, &index)
 			: place_choose(c.targets, c.n, &placement, &index);
 	struct fwd_endpoint *ep = res == PLACE_OK ? c.endpoints[index] : NULL;
 
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -79,6 +79,10 @@
 {
 	if (doc->version <= f->tree_version)
 		return;
+	/* Before the first plan, with which the host begins to send. */
+	endpoints_set_evacuation(f, doc->version,
+				 (const char *const *)doc->evacuated,
+				 doc->n_evacuated, clock_mono_us());
 	if (doc->text_z.len) { /* empty: the plan in force is the newest */
 		char *text = decompress_document(doc);
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -62,6 +62,7 @@
 	registry_free(f->registry);
 	g_hash_table_destroy(f->endpoints);
 	g_hash_table_destroy(f->services);
+	evacuation_release(&f->evacuation);
 }
 
 struct fwd_endpoint *endpoints_find(struct fwd *f, const char *id)
@@ -447,12 +448,79 @@
 	g_hash_table_iter_init(&iter, f->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		if (ep->serving && !ep->is_gone &&
+		    !endpoints_is_evacuated(f, ep) &&
 		    !strcmp(ep->service, service))
 			pause_add_endpoint(&s, ep->paused_until_us,
 					   ep->avoid_until_us, now);
 	return s;
 }
 
+/* ---- evacuation ---- */
+
+bool endpoints_is_evacuated(const struct fwd *f, const struct fwd_endpoint *ep)
+{
+	return evacuation_contains(&f->evacuation, ep->dc);
+}
+
+bool endpoints_all_evacuated(struct fwd *f, const char *service)
+{
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+	bool any = false;
+
+	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep)) {
+		if (!ep->serving || ep->is_gone ||
+		    strcmp(ep->service, service) != 0)
+			continue;
+		if (!endpoints_is_evacuated(f, ep))
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+static void apply_evacuation(const char *dc, bool begins, void *ctx)
+{
+	struct fwd *f = ctx;
+	unsigned int open_here = 0;
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+
+	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep)) {
+		if (strcmp(ep->dc, dc) != 0)
+			continue;
+		open_here += ep->open_here;
+		/* Moves to all endpoints begin in endpoints_tick(). */
+		if (ep->serving)
+			ep->move_due_us = begins ? clock_mono_us() : 0;
+	}
+	counter_add(C_EVACUATIONS, begins ? "begin" : "end", 1);
+	struct slog l = slog_begin("evacuation");
+	slog_str(&l, "evacuated_dc", dc);
+	slog_str(&l, "outcome", begins ? "begin" : "end");
+	slog_int(&l, "tree_version", (int64_t)f->evacuation.version);
+	slog_int(&l, "open_here", open_here);
+	slog_end(&l);
+}
+
+void endpoints_set_evacuation(struct fwd *f, uint64_t tree_version,
+			      const char *const *dcs, size_t n, int64_t now)
+{
+	struct evacuation before = f->evacuation;
+
+	f->evacuation = (struct evacuation){.version = before.version};
+	if (!evacuation_set(&f->evacuation, tree_version, dcs, n)) {
+		f->evacuation = before;
+		return;
+	}
+	evacuation_diff(&before, &f->evacuation, apply_evacuation, f);
+	evacuation_release(&before);
+	request_place_waiting(f, now);
+	request_refuse_evacuated(f, now);
+}
+
 struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
 				       int64_t now)
 {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -12,7 +12,6 @@
 #include "forward/budget.h"
 #include "forward/drain.h"
 #include "forward/health.h"
-#include "policy/pause.h"
 #include "forward/plan.h"
 #include "forward/quota.h"
 #include "forward/rate.h"
@@ -21,7 +20,9 @@
 #include "net/httpd.h"
 #include "net/peer.h"
 #include "policy/est.h"
+#include "policy/evacuation.h"
 #include "policy/owner.h"
+#include "policy/pause.h"
 #include "policy/registry.h"
 
 /*
@@ -131,6 +132,7 @@
 	bool document_requested;      /* a request for it is open */
 	unsigned int document_requests; /* sent since the start */
 	unsigned int proposals;		/* sent since the start */
+	struct evacuation evacuation;	/* data centres that get nothing more */
 	struct plan *plan;		/* in force; NULL before the first */
 	struct plan_parse parse;
 	uint64_t use_seq; /* of the last usage report */
@@ -275,6 +277,16 @@
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
+/* Whether the endpoint is in a data centre that gets nothing more. */
+bool endpoints_is_evacuated(const struct fwd *f, const struct fwd_endpoint *ep);
+/* Whether the service has serving endpoints, all of them evacuated. */
+bool endpoints_all_evacuated(struct fwd *f, const char *service);
+/*
+ * Applies a newer set of evacuated data centres; an older one is ignored.
+ * Generations there begin to move, and waiting requests are placed or refused.
+ */
+void endpoints_set_evacuation(struct fwd *f, uint64_t tree_version,
+			      const char *const *dcs, size_t n, int64_t now);
 /* Returns the state of the service, which is created if there is none. */
 struct service_state *endpoints_service_state(struct fwd *f,
 					      const char *service);
@@ -297,6 +309,8 @@
 /* Ends all attempts at an endpoint as broken off. */
 void request_end_attempts(struct fwd_endpoint *ep, const char *why,
 			  int64_t now);
+/* Refuses the waiting requests whose service has only evacuated endpoints. */
+void request_refuse_evacuated(struct fwd *f, int64_t now);
 /* Tries to place the requests that wait. */
 void request_place_waiting(struct fwd *f, int64_t now);
 
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -134,7 +134,8 @@
 		begin_copy(r, now);
 		return;
 	}
-	if (now < ep->paused_until_us) {
+	/* It may have changed while the memory was copied. */
+	if (!request_may_use_endpoint(r, ep, now)) {
 		move_target_failed(r, now);
 		return;
 	}
@@ -165,7 +166,7 @@
 	r->state = REQUEST_STREAM;
 	r->move.state = MOVE_NONE;
 	r->move.handle[0] = '\0';
-	if (!ep->serving)
+	if (!ep->serving || endpoints_is_evacuated(r->fwd, ep))
 		move_begin(r, now);
 }
 
@@ -327,11 +328,24 @@
 	}
 }
 
+/* Whether the source stays after all, as its evacuation was withdrawn. */
+static bool source_stays(const struct request *r)
+{
+	const struct fwd_endpoint *source =
+		endpoints_find(r->fwd, r->move.source_id);
+
+	return source && source->incarnation == r->incarnation &&
+	       source->serving && !endpoints_is_evacuated(r->fwd, source);
+}
+
 void move_tick(struct request *r, int64_t now)
 {
 	if (now < r->move.due_us)
 		return;
-	if (r->move.state == MOVE_WAIT) {
+	if (r->move.state == MOVE_WAIT && runs_at_source(r) &&
+	    source_stays(r)) {
+		r->move.state = MOVE_NONE;
+	} else if (r->move.state == MOVE_WAIT) {
 		begin_copy(r, now);
 	} else if (r->move.state == MOVE_RESUME && runs_at_source(r) &&
 		   relay_event_is_cut(r)) {
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -251,6 +251,24 @@
 	return true;
 }
 
+/* Refuses and frees a request that could only wait for the end of an
+ * evacuation, which may last for hours. */
+static bool refuse_if_evacuated(struct request *r, int64_t now)
+{
+	if (!endpoints_all_evacuated(r->fwd, r->service->name))
+		return false;
+	request_refuse(r, -MW_ENOENDPOINT, "all endpoints are evacuated", now);
+	return true;
+}
+
+void request_refuse_evacuated(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		refuse_if_evacuated(r, now);
+}
+
 void request_place(struct request *r, int64_t now)
 {
 	bool any_usable = true;
@@ -266,6 +284,8 @@
 	}
 	if (v != BLAME_HOLD && place_judged(r, v, &finding, &any_usable, now))
 		return;
+	if (refuse_if_evacuated(r, now))
+		return;
 	if (!any_usable && refuse_if_paused(r, now))
 		return;
 	if (r->fwd->n_waiting >= QUEUE_MAX ||
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -41,7 +41,7 @@
 	struct fwd_endpoint *ep = endpoints_find(f, r->endpoint_id);
 	if (ep)
 		endpoints_record_success(f, ep, now);
-	if (ep && !ep->serving)
+	if (ep && (!ep->serving || endpoints_is_evacuated(f, ep)))
 		move_begin(r, now);
 }
 
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -200,6 +200,9 @@
 void relay_abort(struct request *r, const char *why, int64_t now);
 
 /* ---- choose.c ---- */
+/* Whether the endpoint may get the request now, room not considered. */
+bool request_may_use_endpoint(const struct request *r,
+			      const struct fwd_endpoint *ep, int64_t now);
 /* Adds a copy of the request's KV cache to the load of an endpoint. */
 void request_add_copy(struct request *r, struct kv_copy *c,
 		      struct fwd_endpoint *ep);
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -80,6 +80,8 @@
 	"Steps of moving generations to other endpoints, by outcome.")
 COUNTER(ENDPOINT_PAUSES, "mustardwall_endpoint_pauses_total", "pauses", NULL,
 	"Pauses that endpoints asked for when they turned a request away.")
+COUNTER(EVACUATIONS, "mustardwall_evacuations_total", "changes", "state",
+	"Evacuations of data centres that began or ended on this process.")
 COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
 	"outcome",
 	"Connections to endpoints that broke off an attempt, by outcome.")
--- a/src/obs/event_kinds.h
+++ b/src/obs/event_kinds.h
@@ -40,6 +40,7 @@
       "Change {change} is in force on {host}: {detail}.")
 EVENT(CHANGE_ABORTED, "change_aborted",
       "{host} dropped pending change {change}: {detail}.")
+EVENT(EVACUATION, "evacuation", "On {host}, {detail}.")
 
 /* endpoints */
 EVENT(ENDPOINT_SEEN, "endpoint_seen",
--- a/src/state/schema.gen.c
+++ b/src/state/schema.gen.c
@@ -397,6 +397,33 @@
 		.unit = "percent",
 		.description = "Memory of an endpoint that other data centres may use at most; 0 lends none",
 	},
+	{
+		.name = "evacuated",
+		.type = SCHEMA_BOOL,
+		.min = INT64_C(0), .max = INT64_C(0),
+		.def_int = 0, .def_string = "",
+		.offset = offsetof(struct dc_cfg, evacuated),
+		.unit = "",
+		.description = "The endpoints of the data centre get nothing more",
+	},
+	{
+		.name = "evacuated_by",
+		.type = SCHEMA_STRING,
+		.min = INT64_C(0), .max = INT64_C(128),
+		.def_string = "",
+		.offset = offsetof(struct dc_cfg, evacuated_by),
+		.unit = "",
+		.description = "Operator who ordered the evacuation",
+	},
+	{
+		.name = "evacuated_since_ms",
+		.type = SCHEMA_INT,
+		.min = INT64_C(0), .max = INT64_C(9007199254740991),
+		.def_int = INT64_C(0), .def_string = "",
+		.offset = offsetof(struct dc_cfg, evacuated_since_ms),
+		.unit = "ms",
+		.description = "Unix time of that order",
+	},
 };
 
 static const struct schema_key system_keys[] = {
@@ -558,7 +585,7 @@
 	[SCHEMA_DC] = {
 		.name = "dc", .folder = "dcs",
 		.max_depth = 1,
-		.keys = dc_keys, .nkeys = 6,
+		.keys = dc_keys, .nkeys = 9,
 		.cfg_size = sizeof(struct dc_cfg),
 	},
 	[SCHEMA_SYSTEM] = {
--- a/src/state/schema.gen.h
+++ b/src/state/schema.gen.h
@@ -121,6 +121,12 @@
 	int64_t spill_after_ms;
 	/* Memory of an endpoint that other data centres may use at most; 0 lends none (percent) */
 	int64_t spill_lend_percent;
+	/* The endpoints of the data centre get nothing more */
+	bool evacuated;
+	/* Operator who ordered the evacuation */
+	const char *evacuated_by;
+	/* Unix time of that order (ms) */
+	int64_t evacuated_since_ms;
 };
 
 /* Resolved settings; strings belong to the tree. */
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -4111,7 +4111,7 @@
   (ProtobufCMessageInit) mw__document_get__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__document_text__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mw__document_text__field_descriptors[5] =
 {
   {
     "version",
@@ -4161,8 +4161,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mw__DocumentText, n_evacuated),
+    offsetof(Mw__DocumentText, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__document_text__field_indices_by_name[] = {
+  4,   /* field[4] = evacuated */
   1,   /* field[1] = revision */
   3,   /* field[3] = text_len */
   2,   /* field[2] = text_z */
@@ -4171,7 +4184,7 @@
 static const ProtobufCIntRange mw__document_text__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mw__document_text__descriptor =
 {
@@ -4181,7 +4194,7 @@
   "Mw__DocumentText",
   "mw",
   sizeof(Mw__DocumentText),
-  4,
+  5,
   mw__document_text__field_descriptors,
   mw__document_text__field_indices_by_name,
   1,  mw__document_text__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -293,7 +293,7 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * its revision on the requesting host
+   * its revision on the requesting host; 0: none,
    */
   uint64_t have;
 };
@@ -321,10 +321,15 @@
    * uncompressed length in bytes
    */
   uint64_t text_len;
+  /*
+   * data centres, as of the tree's version
+   */
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define MW__DOCUMENT_TEXT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__document_text__descriptor) \
-    , 0, 0, {0,NULL}, 0 }
+    , 0, 0, {0,NULL}, 0, 0,NULL }
 
 
 struct  Mw__TreeSnapshot
