--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -82,6 +82,8 @@
 	"Refusals, moves and copies that allowed regions decided, by reason.")
 COUNTER(ENDPOINT_PAUSES, "mustardwall_endpoint_pauses_total", "pauses", NULL,
 	"Pauses that endpoints asked for when they turned a request away.")
+COUNTER(EVACUATIONS, "mustardwall_evacuations_total", "changes", "state",
+	"Evacuations of data centres that began or ended on this process.")
 COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
 	"outcome",
 	"Connections to endpoints that broke off an attempt, by outcome.")
