forward: Continue streams of routes that may be resumed

A caller that resumed a stream with Last-Event-Id got it from its first event: entry hosts removed the header, and did not read the member `resumable` of a route.

On such routes, pass the caller's Last-Event-Id on, repeat an attempt that fails before its first event, and continue a stream that breaks off between two events at another endpoint, within the limits of repeats. A stream whose event was passed on in part is aborted, as before.

--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -37,7 +37,8 @@
 enum plan_route_kind {
 	PLAN_IDEMPOTENT, /* may run several times */
 	PLAN_ONCE,	 /* runs at most once for each attempt of a caller */
-	PLAN_STREAM,	 /* a stream of events; runs at most once */
+	PLAN_STREAM,	 /* a stream of events; runs at most once, unless it is
+			    resumable */
 };
 
 /* One of the services that share the requests of a route. */
@@ -59,6 +60,8 @@
 	unsigned int rank;     /* 0 is the most urgent */
 	unsigned int max_endpoints; /* that one request may be sent to */
 	bool is_public;		    /* needs no key */
+	bool resumable; /* a stream may be continued by another run, after the
+			   last event that its caller has */
 	struct plan_route_backend *backends;
 	size_t n_backends;
 	unsigned int weight_sum;
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -26,7 +26,7 @@
 /* Events after which the memory forecast is updated. */
 #define FORECAST_INTERVAL_EVENTS 16
 
-void relay_begin(struct request *r, int64_t now)
+static void begin_answer(struct request *r)
 {
 	struct fwd *f = r->fwd;
 	headers *h = f->iface->answer_headers(r->fetch);
@@ -34,10 +34,19 @@
 	if (f->drain.active)
 		headers_add(h, "Connection", "close");
 	g_ptr_array_add(h, NULL);
-	r->state = REQUEST_STREAM;
+	r->stream_begun = true;
 	r->last_event_id = r->ask.last_event_id;
 	httpd_stream_begin(r->http, r->status, (const char *const *)h->pdata);
 	g_ptr_array_unref(h);
+}
+
+void relay_begin(struct request *r, int64_t now)
+{
+	struct fwd *f = r->fwd;
+
+	r->state = REQUEST_STREAM;
+	if (!r->stream_begun)
+		begin_answer(r);
 	struct fwd_endpoint *ep = endpoints_find(f, r->endpoint_id);
 	if (ep)
 		endpoints_record_success(f, ep, now);
@@ -201,7 +210,8 @@
 	if (complete)
 		why = "closed inside an event";
 	/* Another endpoint would send this event again, whole. */
-	if (!relay_event_is_cut(r)) {
+	bool event_is_cut = relay_event_is_cut(r);
+	if (!event_is_cut) {
 		relay_drop_part(r);
 		if (move_source_ended(r))
 			return;
@@ -209,7 +219,8 @@
 	if (ep && ep->incarnation == r->incarnation)
 		endpoints_record_failure(r->fwd, ep, now);
 	crashes_attempt_broken(r, now);
-	relay_abort(r, why, now);
+	if (event_is_cut || !request_continue(r, why, now))
+		relay_abort(r, why, now);
 }
 
 void relay_drained(struct request *r, int64_t now)
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -242,6 +242,11 @@
 void request_refuse(struct request *r, int err, const char *why, int64_t now)
 {
 	struct fwd *f = r->fwd;
+
+	if (r->stream_begun) {
+		relay_abort(r, why, now);
+		return;
+	}
 	int64_t after =
 		r->may_have_run ? 0 : choose_retry_after_us(r, err, now);
 	struct slog l = slog_begin("refused");
@@ -392,6 +397,12 @@
 	request_free(r);
 }
 
+/* Whether another run may follow one that may have run. */
+static bool may_run_again(const struct request *r)
+{
+	return r->route->kind == PLAN_IDEMPOTENT || r->route->resumable;
+}
+
 /*
  * Whether the request may be sent to an endpoint again, after an attempt that
  * may have run or not, and was delivered or not.  Takes a repeat from the
@@ -404,7 +415,7 @@
 		return false;
 	if (!delivered)
 		return ++r->failed_deliveries <= FAILED_DELIVERIES_MAX;
-	if (may_have_run && r->route->kind != PLAN_IDEMPOTENT)
+	if (may_have_run && !may_run_again(r))
 		return false;
 	if (may_have_run && r->attempts >= r->route->max_endpoints)
 		return false;
@@ -424,6 +435,17 @@
 	request_place(r, now);
 }
 
+bool request_continue(struct request *r, const char *why, int64_t now)
+{
+	if (!r->route->resumable || r->move.state != MOVE_NONE ||
+	    !may_repeat(r, true, true, now))
+		return false;
+	r->may_have_run = true;
+	r->admitted_us = now; /* it may wait for room once more */
+	repeat_request(r, why, now);
+	return true;
+}
+
 static void attempt_failed(struct request *r, const struct fetch_result *res,
 			   int64_t now)
 {
@@ -486,7 +508,9 @@
 		repeat_request(r, "endpoint error", now);
 		return;
 	}
-	if (usable)
+	if (usable && r->stream_begun)
+		relay_abort(r, "the stream was not continued", now);
+	else if (usable)
 		forward_answer(r, fetch, now);
 	else
 		attempt_failed(r, res, now);
@@ -532,6 +556,14 @@
 	.done = on_done,
 };
 
+/* The event after which a run is to go on; 0: it begins. */
+static uint64_t last_event_id(const struct request *r)
+{
+	if (r->stream_begun)
+		return r->last_event_id;
+	return r->route->resumable ? r->ask.last_event_id : 0;
+}
+
 struct fetch *request_start_attempt(struct request *r, struct fwd_endpoint *ep,
 				    const char *resume_from, int64_t now)
 {
@@ -541,7 +573,7 @@
 			    .rank = r->rank,
 			    .time_left_us = r->deadline_us - now,
 			    .resume_from = resume_from,
-			    .last_event_id = r->last_event_id};
+			    .last_event_id = last_event_id(r)};
 	headers *h = f->iface->request_headers(r->http, &r->ask, &a);
 	g_autofree char *url = g_strdup_printf("http://%s/", ep->addr);
 	struct fetch_spec spec = {
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -14,7 +14,8 @@
  *   that may have run.
  * - A refusal that says "not run" is sent only if no attempt may have run.
  * - The caller receives bytes of an answer from one run only; a generation that
- *   is moved is continued, not run again.
+ *   is moved is continued, not run again.  A stream of a resumable route may be
+ *   continued by another run, after the last whole event that was passed on.
  */
 
 /* A request is not sent to an endpoint with less time than this left. */
@@ -116,6 +117,7 @@
 	struct buf body;      /* of an answer that is not a stream */
 
 	/* Stream. */
+	bool stream_begun;	  /* its caller has got the headers */
 	struct event_scan scan;	  /* of the event that arrives */
 	struct buf partial_event; /* of it, not passed on */
 	enum event_part part;
@@ -177,7 +179,7 @@
 
 /*
  * Answers the caller with the error err (negative), and frees the request.  why
- * is logged only.
+ * is logged only.  A stream that has begun is aborted instead.
  */
 void request_refuse(struct request *r, int err, const char *why, int64_t now);
 
@@ -195,12 +197,19 @@
  * endpoint. */
 void request_update_need(struct request *r, int64_t now);
 
+/*
+ * Runs a stream of a resumable route again, from the event after the last one
+ * that was passed on; false if it may not be repeated.
+ */
+bool request_continue(struct request *r, const char *why, int64_t now);
+
 /* ---- queue.c ---- */
 /* Sends the request to an endpoint, queues it, or refuses and frees it. */
 void request_place(struct request *r, int64_t now);
 
 /* ---- relay.c ---- */
-/* The headers of a stream have arrived: starts the answer to the caller. */
+/* The headers of a stream have arrived: starts the answer to the caller, or
+ * continues the one that has begun. */
 void relay_begin(struct request *r, int64_t now);
 /* Passes whole events on to the caller; may free the request. */
 void relay_data(struct request *r, const char *p, size_t n, int64_t now);
