forward: Share room only with requests that may use it

The quota of queued generations was one for each service. A request that may only go to a full region began its rounds with no room, so requests for other regions waited with it, and a long queue for one region reduced the share of all others.

Keep a quota for each set of allowed regions. Work in other sets counts with the part of its claim that is in common regions (demand.c). Queue rows of usage reports and totals name the restricted parts of the queue in a new field, which processes of the previous build ignore.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -260,24 +260,47 @@
 	}
 }
 
-static void add_queue(Mw__UseTotals *t, const Mw__QueueRow *row)
+static void add_restricted(Mw__QueueRow *sum, const Mw__RegionQueue *part)
+{
+	Mw__RegionQueue *q = NULL;
+
+	for (size_t i = 0; !q && i < sum->n_restricted; i++)
+		if (!strcmp(sum->restricted[i]->regions, part->regions))
+			q = sum->restricted[i];
+	if (!q) {
+		q = g_new0(Mw__RegionQueue, 1);
+		mw__region_queue__init(q);
+		q->regions = part->regions;
+		sum->restricted = g_renew(Mw__RegionQueue *, sum->restricted,
+					  sum->n_restricted + 1);
+		sum->restricted[sum->n_restricted++] = q;
+	}
+	q->tokens += part->tokens;
+}
+
+static Mw__QueueRow *get_queue(Mw__UseTotals *t, const Mw__QueueRow *row)
 {
 	Mw__QueueRow *sum;
 
-	for (size_t i = 0; i < t->n_queues; i++) {
-		if (strcmp(t->queues[i]->service, row->service) != 0)
-			continue;
-		t->queues[i]->tokens += row->tokens;
-		t->queues[i]->arrivals += row->arrivals;
-		return;
-	}
+	for (size_t i = 0; i < t->n_queues; i++)
+		if (!strcmp(t->queues[i]->service, row->service))
+			return t->queues[i];
 	sum = g_new0(Mw__QueueRow, 1);
 	mw__queue_row__init(sum);
 	sum->service = row->service;
-	sum->tokens = row->tokens;
-	sum->arrivals = row->arrivals;
 	t->queues = g_renew(Mw__QueueRow *, t->queues, t->n_queues + 1);
 	t->queues[t->n_queues++] = sum;
+	return sum;
+}
+
+static void add_queue(Mw__UseTotals *t, const Mw__QueueRow *row)
+{
+	Mw__QueueRow *sum = get_queue(t, row);
+
+	sum->tokens += row->tokens;
+	sum->arrivals += row->arrivals;
+	for (size_t i = 0; i < row->n_restricted; i++)
+		add_restricted(sum, row->restricted[i]);
 }
 
 /*
@@ -357,8 +380,12 @@
 {
 	for (size_t i = 0; i < t->n_rows; i++)
 		g_free(t->rows[i]);
-	for (size_t i = 0; i < t->n_queues; i++)
+	for (size_t i = 0; i < t->n_queues; i++) {
+		for (size_t j = 0; j < t->queues[i]->n_restricted; j++)
+			g_free(t->queues[i]->restricted[j]);
+		g_free(t->queues[i]->restricted);
 		g_free(t->queues[i]);
+	}
 	g_free(t->queues);
 	g_free(t->rows);
 	g_free(t);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -73,6 +73,13 @@
 	return request_region_allowed(r, ep);
 }
 
+static bool is_usable(const struct fwd_endpoint *ep, int64_t now)
+{
+	return ep->serving && !ep->is_gone && now >= ep->avoid_until_us &&
+	       now >= ep->paused_until_us &&
+	       !health_is_unhealthy(&ep->health, now);
+}
+
 /*
  * Whether the endpoint may get the request now.  Whether it has room for it is
  * decided later, by place.c.
@@ -80,9 +87,7 @@
 static bool may_send(struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
 {
-	return request_is_permitted(r, ep) && ep->serving && !ep->is_gone &&
-	       now >= ep->avoid_until_us && now >= ep->paused_until_us &&
-	       !health_is_unhealthy(&ep->health, now);
+	return request_is_permitted(r, ep) && is_usable(ep, now);
 }
 
 static struct candidates gather_candidates(struct request *r,
@@ -190,6 +195,36 @@
 	return false;
 }
 
+/* The room or the memory of the service's usable endpoints by region, whatever
+ * regions the request may use. */
+static struct demand_amounts sum_by_region(struct request *r, bool memory,
+					   int64_t now)
+{
+	struct candidates c = gather_candidates(r, "", r->fwd->conf->dc, now);
+	struct demand_amounts a = {0};
+
+	for (size_t i = 0; i < c.n; i++) {
+		c.targets[i].usable = is_usable(c.endpoints[i], now);
+		struct place_capacity s = place_sum_capacity(&c.targets[i], 1);
+		demand_add_amount(&a, c.endpoints[i]->region,
+				  memory ? s.memory_tokens : s.room_tokens);
+	}
+	candidates_release(&c);
+	return a;
+}
+
+uint64_t request_competing(struct request *r, const struct demands *d,
+			   bool memory, int64_t now)
+{
+	const struct residency *allowed = request_residency(r);
+
+	if (!d->n ||
+	    (d->n == 1 && residency_equal(&d->list[0].allowed, allowed)))
+		return demand_sum(d);
+	struct demand_amounts a = sum_by_region(r, memory, now);
+	return demand_competing(d, allowed, &a);
+}
+
 struct place_capacity request_capacity(struct request *r, int64_t now)
 {
 	struct candidates c = gather_candidates(r, "", r->fwd->conf->dc, now);
@@ -209,16 +244,19 @@
 		endpoints_service_state(r->fwd, r->service->name);
 	double arrivals = hosts.recent ? hosts.arrivals_elsewhere
 				       : (double)hosts.arrivals * (hosts.n - 1);
+	uint64_t queued_tokens =
+		r->generation && hosts.recent
+			? request_competing(r, &s->queued_elsewhere, false, now)
+			: 0;
 	int64_t lag_us = usage_lag_us(hosts.n, r->fwd->use_report_rows,
 				      control_link_controls(r->fwd));
 
 	if (!hosts.recent)
 		lag_us = MIN(now - r->fwd->totals_received_us, RATE_WINDOW_US);
-	return place_unseen(
-		arrivals * USEC_PER_SEC / RATE_WINDOW_US, lag_us,
-		r->generation && hosts.recent ? s->queued_elsewhere_tokens : 0,
-		place_sum_capacity(c->targets, c->n).room_tokens,
-		r->need_tokens);
+	return place_unseen(arrivals * USEC_PER_SEC / RATE_WINDOW_US, lag_us,
+			    queued_tokens,
+			    place_sum_capacity(c->targets, c->n).room_tokens,
+			    r->need_tokens);
 }
 
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "forward/owner_check.h"
+#include "forward/regions.h"
 #include "forward/request.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
@@ -215,6 +216,25 @@
 	return NULL;
 }
 
+static void apply_queue(struct fwd *f, const Mw__QueueRow *row)
+{
+	static const struct residency anywhere = {0};
+	struct service_state *s = endpoints_service_state(f, row->service);
+	uint64_t restricted = 0;
+
+	s->arrivals_elsewhere = row->arrivals;
+	for (size_t i = 0; i < row->n_restricted; i++) {
+		const Mw__RegionQueue *q = row->restricted[i];
+		struct residency allowed = regions_parse(f, q->regions);
+
+		demand_add(&s->queued_elsewhere, &allowed, q->tokens);
+		restricted += q->tokens;
+	}
+	if (row->tokens > restricted)
+		demand_add(&s->queued_elsewhere, &anywhere,
+			   row->tokens - restricted);
+}
+
 void endpoints_apply_totals(struct fwd *f, const Mw__UseTotals *totals,
 			    int64_t now)
 {
@@ -238,14 +258,11 @@
 	}
 	g_hash_table_iter_init(&iter, f->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s)) {
-		s->queued_elsewhere_tokens = 0;
+		s->queued_elsewhere = (struct demands){0};
 		s->arrivals_elsewhere = 0;
 	}
-	for (size_t i = 0; i < totals->n_queues; i++) {
-		s = endpoints_service_state(f, totals->queues[i]->service);
-		s->queued_elsewhere_tokens = totals->queues[i]->tokens;
-		s->arrivals_elsewhere = totals->queues[i]->arrivals;
-	}
+	for (size_t i = 0; i < totals->n_queues; i++)
+		apply_queue(f, totals->queues[i]);
 	if (load_decreased)
 		request_place_waiting(f, now);
 }
@@ -280,6 +297,22 @@
 	return (s && s->runs_model) || service_has_limit(f, service);
 }
 
+static void report_queue(struct fwd *f, const struct demands *d,
+			 Mw__QueueRow *row)
+{
+	row->tokens = demand_sum(d);
+	row->restricted = g_new0(Mw__RegionQueue *, d->n + 1);
+	for (size_t i = 0; i < d->n; i++) {
+		if (!d->list[i].allowed.restricted)
+			continue;
+		Mw__RegionQueue *q = g_new0(Mw__RegionQueue, 1);
+		mw__region_queue__init(q);
+		q->regions = regions_names(f, &d->list[i].allowed);
+		q->tokens = d->list[i].tokens;
+		row->restricted[row->n_restricted++] = q;
+	}
+}
+
 Mw__UseReport *endpoints_use_report(struct fwd *f, int64_t now)
 {
 	Mw__UseReport *r = g_new0(Mw__UseReport, 1);
@@ -317,17 +350,17 @@
 	r->queues = g_new0(Mw__QueueRow *, g_hash_table_size(f->services) + 1);
 	g_hash_table_iter_init(&iter, f->services);
 	while (g_hash_table_iter_next(&iter, &name, (void **)&s)) {
-		uint64_t tokens = request_queued_tokens(f, name);
+		struct demands queued = request_queued(f, name);
 		unsigned int arrivals =
 			reports_arrivals(f, name)
 				? rate_window_count(&s->arrivals, now)
 				: 0;
-		if (!tokens && !arrivals)
+		if (!queued.n && !arrivals)
 			continue;
 		Mw__QueueRow *row = g_new0(Mw__QueueRow, 1);
 		mw__queue_row__init(row);
 		row->service = name;
-		row->tokens = tokens;
+		report_queue(f, &queued, row);
 		row->arrivals = arrivals;
 		r->queues[r->n_queues++] = row;
 	}
@@ -336,8 +369,16 @@
 
 void endpoints_use_report_free(Mw__UseReport *r)
 {
-	for (size_t i = 0; i < r->n_queues; i++)
-		g_free(r->queues[i]);
+	for (size_t i = 0; i < r->n_queues; i++) {
+		Mw__QueueRow *row = r->queues[i];
+
+		for (size_t j = 0; j < row->n_restricted; j++) {
+			g_free(row->restricted[j]->regions);
+			g_free(row->restricted[j]);
+		}
+		g_free(row->restricted);
+		g_free(row);
+	}
 	g_free(r->queues);
 	for (size_t i = 0; i < r->n_rows; i++)
 		g_free(r->rows[i]);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -10,6 +10,7 @@
 #include "base/list.h"
 #include "conf/conf.h"
 #include "forward/budget.h"
+#include "forward/demand.h"
 #include "forward/drain.h"
 #include "forward/health.h"
 #include "policy/pause.h"
@@ -37,6 +38,7 @@
  *   endpoints.c     endpoints, their load and failures
  *   request.c       life of a request: admission, attempts, answer
  *   queue.c         requests that wait for an endpoint, and their placement
+ *   demand.c        queued work that competes for the endpoints of some regions
  *   choose.c        choice of an endpoint for a request or a KV copy
  *   regions.c       regions that a request may be sent to
  *   relay.c         streams of events
@@ -107,11 +109,16 @@
 
 /* State of a service on this host. */
 struct service_state {
-	struct budget budget;		  /* of repeated requests */
-	struct quota quota;		  /* of queued generations to place */
-	uint64_t queued_elsewhere_tokens; /* in the queues of other hosts */
-	struct rate_window arrivals;	  /* requests of callers */
-	unsigned int arrivals_elsewhere;  /* lately, on other hosts */
+	struct budget budget; /* of repeated requests */
+	/* Quotas of queued generations to place, one for each set of regions */
+	struct region_quota {
+		struct residency allowed;
+		struct quota quota;
+	} quotas[DEMANDS_MAX];
+	size_t n_quotas;
+	struct demands queued_elsewhere; /* in the queues of other hosts */
+	struct rate_window arrivals;	 /* requests of callers */
+	unsigned int arrivals_elsewhere; /* lately, on other hosts */
 };
 
 struct fwd {
@@ -295,9 +302,9 @@
 void request_tick(struct fwd *f, int64_t now);
 /*
  * Memory, in tokens, that the generations in this host's queue for the service
- * are expected to need; urgent ones are not counted.
+ * are expected to need, by allowed regions; urgent ones are not counted.
  */
-uint64_t request_queued_tokens(struct fwd *f, const char *service);
+struct demands request_queued(struct fwd *f, const char *service);
 /* Gives a final answer to each request that has none yet, except to streams
  * that have begun. */
 void request_answer_all(struct fwd *f, int64_t now);
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -58,24 +58,91 @@
 	return r->generation && !request_is_urgent(r);
 }
 
-uint64_t request_queued_tokens(struct fwd *f, const char *service)
+struct demands request_queued(struct fwd *f, const char *service)
 {
+	struct demands d = {0};
 	struct request *r;
-	uint64_t tokens = 0;
 
 	list_for_each_entry (r, &f->waiting, wait_node)
 		if (is_deferrable(r) && !r->held &&
 		    !strcmp(r->service->name, service))
-			tokens += r->need_tokens;
-	return tokens;
+			demand_add(&d, request_residency(r), r->need_tokens);
+	return d;
 }
 
-static uint64_t queued_elsewhere_tokens(const struct fwd *f,
+static struct demands queued_elsewhere(const struct fwd *f,
+				       const struct service_state *s,
+				       const struct demands *own, int64_t now)
+{
+	const struct demands *there = &s->queued_elsewhere;
+	int64_t age_us = now - f->totals_received_us;
+	struct demands d = {0};
+
+	for (size_t i = 0; i < own->n; i++)
+		if (own->list[i].tokens)
+			demand_add(&d, &own->list[i].allowed,
+				   quota_queued_elsewhere(
+					   own->list[i].tokens,
+					   demand_same(there,
+						       &own->list[i].allowed),
+					   age_us, f->n_hosts));
+	for (size_t i = 0; i < there->n; i++)
+		if (!demand_same(own, &there->list[i].allowed))
+			demand_add(&d, &there->list[i].allowed,
+				   quota_queued_elsewhere(0,
+							  there->list[i].tokens,
+							  age_us, f->n_hosts));
+	return d;
+}
+
+/* The work queued on all hosts, given that of this one. */
+static struct demands queued_everywhere(const struct fwd *f,
 					const struct service_state *s,
-					uint64_t own_tokens, int64_t now)
+					const struct demands *own, int64_t now)
+{
+	struct demands d = queued_elsewhere(f, s, own, now);
+
+	for (size_t i = 0; i < own->n; i++)
+		demand_add(&d, &own->list[i].allowed, own->list[i].tokens);
+	return d;
+}
+
+/* The quota of the set of regions; further sets share the last one. */
+static struct quota *quota_of(struct service_state *s,
+			      const struct residency *allowed)
+{
+	size_t i = 0;
+
+	while (i < s->n_quotas &&
+	       !residency_equal(&s->quotas[i].allowed, allowed))
+		i++;
+	if (i == DEMANDS_MAX)
+		return &s->quotas[i - 1].quota;
+	if (i == s->n_quotas)
+		s->quotas[s->n_quotas++] =
+			(struct region_quota){.allowed = *allowed};
+	return &s->quotas[i].quota;
+}
+
+static void begin_quota_round(struct request *r, struct quota *q,
+			      uint64_t room_tokens, int64_t now)
 {
-	return quota_queued_elsewhere(own_tokens, s->queued_elsewhere_tokens,
-				      now - f->totals_received_us, f->n_hosts);
+	struct fwd *f = r->fwd;
+	const struct service_state *s =
+		endpoints_service_state(f, r->service->name);
+	bool queued = r->wait_node.next != &r->wait_node;
+	struct demands own = request_queued(f, r->service->name);
+
+	if (!queued)
+		demand_add(&own, request_residency(r), r->need_tokens);
+	struct demands all = queued_everywhere(f, s, &own, now);
+	uint64_t competing = request_competing(r, &all, false, now);
+	/* Of a set that shares a quota only the request itself is known. */
+	uint64_t own_tokens =
+		MAX(demand_same(&own, request_residency(r)), r->need_tokens);
+	quota_begin_round(q, room_tokens, own_tokens,
+			  competing > own_tokens ? competing - own_tokens : 0,
+			  now);
 }
 
 /*
@@ -87,13 +154,11 @@
 {
 	struct fwd *f = r->fwd;
 	struct service_state *s = endpoints_service_state(f, r->service->name);
-	bool queued = r->wait_node.next != &r->wait_node;
-	uint64_t own_tokens = request_queued_tokens(f, r->service->name) +
-			      (queued ? 0 : r->need_tokens);
+	struct quota *q = quota_of(s, request_residency(r));
 
-	quota_begin_round(&s->quota, room_tokens, own_tokens,
-			  queued_elsewhere_tokens(f, s, own_tokens, now), now);
-	return quota_take(&s->quota, r->need_tokens, g_rand_double(f->rand));
+	if (quota_round_is_due(q, now))
+		begin_quota_round(r, q, room_tokens, now);
+	return quota_take(q, r->need_tokens, g_rand_double(f->rand));
 }
 
 /*
@@ -149,26 +214,27 @@
 static void log_queue_state(struct request *r, const char *kind, int64_t now)
 {
 	struct fwd *f = r->fwd;
-	const struct service_state *s =
-		endpoints_service_state(f, r->service->name);
-	uint64_t own_tokens = request_queued_tokens(f, r->service->name);
+	struct service_state *s = endpoints_service_state(f, r->service->name);
+	struct demands own = request_queued(f, r->service->name);
+	struct demands there = queued_elsewhere(f, s, &own, now);
 	struct place_capacity capacity = request_capacity(r, now);
 	struct slog l = slog_begin(kind);
 
 	slog_str(&l, "request", r->ask.id);
 	slog_int(&l, "need_tokens", (int64_t)r->need_tokens);
-	slog_int(&l, "queued_here_tokens", (int64_t)own_tokens);
-	slog_int(&l, "queued_elsewhere_tokens",
-		 (int64_t)queued_elsewhere_tokens(f, s, own_tokens, now));
+	slog_int(&l, "queued_here_tokens", (int64_t)demand_sum(&own));
+	slog_int(&l, "queued_elsewhere_tokens", (int64_t)demand_sum(&there));
 	slog_int(&l, "room_tokens", (int64_t)capacity.room_tokens);
 	slog_int(&l, "memory_tokens", (int64_t)capacity.memory_tokens);
 	slog_int(&l, "endpoints", capacity.usable);
 	slog_int(&l, "full", capacity.full);
 	slog_int(&l, "with_queue", capacity.queueing);
 	slog_int(&l, "reading", capacity.prefilling);
-	slog_int(&l, "turn_left_tokens", (int64_t)s->quota.left_tokens);
+	slog_int(&l, "turn_left_tokens",
+		 (int64_t)quota_of(s, request_residency(r))->left_tokens);
 	slog_int(&l, "wait_max_us", wait_max_us(r));
 	slog_int(&l, "sums_age_us", now - f->totals_received_us);
+	request_log_regions(&l, r);
 	slog_end(&l);
 }
 
@@ -186,12 +252,11 @@
 		return false;
 	if (!is_deferrable(r))
 		return count_waiting_on_route(r) >= URGENT_ROUTE_QUEUE_MAX;
-	uint64_t own_tokens = request_queued_tokens(f, r->service->name);
-	uint64_t elsewhere_tokens =
-		queued_elsewhere_tokens(f, s, own_tokens, now);
+	struct demands own = request_queued(f, r->service->name);
+	struct demands all = queued_everywhere(f, s, &own, now);
 	uint64_t memory_tokens = request_capacity(r, now).memory_tokens;
 
-	if (quota_wait_is_worthwhile(own_tokens + elsewhere_tokens,
+	if (quota_wait_is_worthwhile(request_competing(r, &all, true, now),
 				     memory_tokens, wait_max_us(r)))
 		return false;
 	log_queue_state(r, "queue_too_long", now);
--- a/src/forward/quota.c
+++ b/src/forward/quota.c
@@ -7,13 +7,18 @@
 /* Time for which a long generation holds its memory. */
 #define MEMORY_HELD_US 10000000
 
+bool quota_round_is_due(const struct quota *q, int64_t now)
+{
+	return !q->round_start_us || now - q->round_start_us >= QUOTA_ROUND_US;
+}
+
 void quota_begin_round(struct quota *q, uint64_t room_tokens,
 		       uint64_t own_tokens, uint64_t elsewhere_tokens,
 		       int64_t now)
 {
 	uint64_t queued_tokens = own_tokens + elsewhere_tokens;
 
-	if (q->round_start_us && now - q->round_start_us < QUOTA_ROUND_US)
+	if (!quota_round_is_due(q, now))
 		return;
 	q->round_start_us = now;
 	q->enough_for_all = queued_tokens <= room_tokens;
--- a/src/forward/quota.h
+++ b/src/forward/quota.h
@@ -31,6 +31,9 @@
 	double left_tokens;  /* that may still be placed in this round */
 };
 
+/* Whether the next call of quota_begin_round() begins a round. */
+bool quota_round_is_due(const struct quota *q, int64_t now);
+
 /*
  * Begins a round if the last one began QUOTA_ROUND_US ago or earlier.  The room
  * is that of all endpoints; own_tokens wait on this host and elsewhere_tokens
--- a/src/forward/regions.c
+++ b/src/forward/regions.c
@@ -1,9 +1,23 @@
 #include "forward/regions.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "forward/request.h"
 
+/* Sets that are bound to the map before are of no more use. */
+static void forget_sets(struct fwd *f)
+{
+	GHashTableIter iter;
+	struct service_state *s;
+
+	g_hash_table_iter_init(&iter, f->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s)) {
+		s->n_quotas = 0;
+		s->queued_elsewhere.n = 0;
+	}
+}
+
 void regions_load(struct fwd *f)
 {
 	const struct conf *c = f->conf;
@@ -19,6 +33,7 @@
 	g_hash_table_iter_init(&iter, f->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		ep->region = residency_map_dc(&f->regions, ep->dc);
+	forget_sets(f);
 	if (first && !c->dc_region_nr)
 		return;
 	struct slog l = slog_begin("regions");
@@ -95,6 +110,33 @@
 	return residency_allows(request_residency(r), ep->region);
 }
 
+static int compare_names(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+char *regions_names(const struct fwd *f, const struct residency *allowed)
+{
+	const char *names[RESIDENCY_REGIONS_MAX + 1] = {NULL};
+	size_t n = 0;
+
+	for (size_t i = 0; i < f->regions.n_regions; i++)
+		if (residency_allows(allowed, (int)i))
+			names[n++] = f->regions.regions[i];
+	qsort(names, n, sizeof(*names), compare_names);
+	return g_strjoinv(",", (char **)names);
+}
+
+struct residency regions_parse(const struct fwd *f, const char *names)
+{
+	g_auto(GStrv) list = g_strsplit(names, ",", -1);
+	struct residency r = residency_from_names(
+		&f->regions, (const char *const *)list, g_strv_length(list));
+
+	r.restricted = true;
+	return r;
+}
+
 static void log_list(struct slog *l, const char *key,
 		     const struct plan_regions *list)
 {
@@ -109,7 +151,6 @@
 
 void request_log_regions(struct slog *l, struct request *r)
 {
-	g_autoptr(GString) text = g_string_new(NULL);
 	const struct residency *allowed;
 	struct fwd *f = r->fwd;
 
@@ -118,14 +159,10 @@
 	allowed = request_residency(r);
 	if (!allowed->restricted)
 		return;
-	for (size_t i = 0; i < f->regions.n_regions; i++)
-		if (residency_allows(allowed, (int)i))
-			g_string_append_printf(text, "%s%s",
-					       text->len ? "," : "",
-					       f->regions.regions[i]);
+	g_autofree char *names = regions_names(f, allowed);
 	log_list(l, "route_regions", &r->route->regions);
 	if (r->account)
 		log_list(l, "account_regions", &r->account->regions);
-	slog_str(l, "allowed_regions", text->str);
+	slog_str(l, "allowed_regions", names);
 	slog_int(l, "plan_in_force", (int64_t)f->plan->revision);
 }
--- a/src/forward/regions.h
+++ b/src/forward/regions.h
@@ -33,6 +33,11 @@
 /* Whether the request's lists allow the endpoint's region. */
 bool request_region_allowed(struct request *r, const struct fwd_endpoint *ep);
 
+/* The names of the allowed regions, sorted and separated by commas. */
+char *regions_names(const struct fwd *f, const struct residency *allowed);
+/* What such names allow; those that the map does not have allow nothing. */
+struct residency regions_parse(const struct fwd *f, const char *names);
+
 /* Adds the lists and what they allow to a log line; nothing without lists. */
 void request_log_regions(struct slog *l, struct request *r);
 
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -162,6 +162,13 @@
  * present state. */
 bool request_is_permitted(struct request *r, const struct fwd_endpoint *ep);
 
+/*
+ * The part of the demands that competes with the request for the room, or the
+ * memory, of the endpoints that may get it (demand_competing()).
+ */
+uint64_t request_competing(struct request *r, const struct demands *d,
+			   bool memory, int64_t now);
+
 /* Capacity of the endpoints of the request's service that may get it. */
 struct place_capacity request_capacity(struct request *r, int64_t now);
 
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -2122,6 +2122,51 @@
   assert(message->base.descriptor == &mw__use_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__region_queue__init
+                     (Mw__RegionQueue         *message)
+{
+  static const Mw__RegionQueue init_value = MW__REGION_QUEUE__INIT;
+  *message = init_value;
+}
+size_t mw__region_queue__get_packed_size
+                     (const Mw__RegionQueue *message)
+{
+  assert(message->base.descriptor == &mw__region_queue__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__region_queue__pack
+                     (const Mw__RegionQueue *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__region_queue__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__region_queue__pack_to_buffer
+                     (const Mw__RegionQueue *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__region_queue__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__RegionQueue *
+       mw__region_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__RegionQueue *)
+     protobuf_c_message_unpack (&mw__region_queue__descriptor,
+                                allocator, len, data);
+}
+void   mw__region_queue__free_unpacked
+                     (Mw__RegionQueue *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__region_queue__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__queue_row__init
                      (Mw__QueueRow         *message)
 {
@@ -7765,7 +7810,58 @@
   (ProtobufCMessageInit) mw__use_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mw__region_queue__field_descriptors[2] =
+{
+  {
+    "regions",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__RegionQueue, regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__RegionQueue, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__region_queue__field_indices_by_name[] = {
+  0,   /* field[0] = regions */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange mw__region_queue__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mw__region_queue__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.RegionQueue",
+  "RegionQueue",
+  "Mw__RegionQueue",
+  "mw",
+  sizeof(Mw__RegionQueue),
+  2,
+  mw__region_queue__field_descriptors,
+  mw__region_queue__field_indices_by_name,
+  1,  mw__region_queue__number_ranges,
+  (ProtobufCMessageInit) mw__region_queue__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[4] =
 {
   {
     "service",
@@ -7803,16 +7899,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "restricted",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__QueueRow, n_restricted),
+    offsetof(Mw__QueueRow, restricted),
+    &mw__region_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__queue_row__field_indices_by_name[] = {
   2,   /* field[2] = arrivals */
+  3,   /* field[3] = restricted */
   0,   /* field[0] = service */
   1,   /* field[1] = tokens */
 };
 static const ProtobufCIntRange mw__queue_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mw__queue_row__descriptor =
 {
@@ -7822,7 +7931,7 @@
   "Mw__QueueRow",
   "mw",
   sizeof(Mw__QueueRow),
-  3,
+  4,
   mw__queue_row__field_descriptors,
   mw__queue_row__field_indices_by_name,
   1,  mw__queue_row__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -62,6 +62,7 @@
 typedef struct Mw__CrashMarks Mw__CrashMarks;
 typedef struct Mw__EndpointRows Mw__EndpointRows;
 typedef struct Mw__UseRow Mw__UseRow;
+typedef struct Mw__RegionQueue Mw__RegionQueue;
 typedef struct Mw__QueueRow Mw__QueueRow;
 typedef struct Mw__UseReport Mw__UseReport;
 typedef struct Mw__UseTotals Mw__UseTotals;
@@ -1144,6 +1145,23 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Part of a queue that may only be sent to some regions.
+ */
+struct  Mw__RegionQueue
+{
+  ProtobufCMessage base;
+  /*
+   * names, sorted and separated by commas; may be none
+   */
+  char *regions;
+  uint64_t tokens;
+};
+#define MW__REGION_QUEUE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__region_queue__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * Generations queued on a host until an endpoint of a service has free memory.
  */
@@ -1159,10 +1177,18 @@
    * requests for the service in the last 2 s, if it runs
    */
   uint32_t arrivals;
+  /*
+   * a model or an endpoint of it has a limit
+   */
+  /*
+   * parts of tokens, one for each set of regions
+   */
+  size_t n_restricted;
+  Mw__RegionQueue **restricted;
 };
 #define MW__QUEUE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__queue_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /*
@@ -2618,6 +2644,25 @@
 void   mw__use_row__free_unpacked
                      (Mw__UseRow *message,
                       ProtobufCAllocator *allocator);
+/* Mw__RegionQueue methods */
+void   mw__region_queue__init
+                     (Mw__RegionQueue         *message);
+size_t mw__region_queue__get_packed_size
+                     (const Mw__RegionQueue   *message);
+size_t mw__region_queue__pack
+                     (const Mw__RegionQueue   *message,
+                      uint8_t             *out);
+size_t mw__region_queue__pack_to_buffer
+                     (const Mw__RegionQueue   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__RegionQueue *
+       mw__region_queue__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__region_queue__free_unpacked
+                     (Mw__RegionQueue *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__QueueRow methods */
 void   mw__queue_row__init
                      (Mw__QueueRow         *message);
@@ -3160,6 +3205,9 @@
 typedef void (*Mw__UseRow_Closure)
                  (const Mw__UseRow *message,
                   void *closure_data);
+typedef void (*Mw__RegionQueue_Closure)
+                 (const Mw__RegionQueue *message,
+                  void *closure_data);
 typedef void (*Mw__QueueRow_Closure)
                  (const Mw__QueueRow *message,
                   void *closure_data);
@@ -3276,6 +3324,7 @@
 extern const ProtobufCMessageDescriptor mw__crash_marks__descriptor;
 extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
+extern const ProtobufCMessageDescriptor mw__region_queue__descriptor;
 extern const ProtobufCMessageDescriptor mw__queue_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_report__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_totals__descriptor;
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -318,12 +318,53 @@
 }
 END_TEST
 
+/* Guards against a queue that is reported as one that could be placed anywhere,
+ * and against one for a full region that counts for others. */
+START_TEST(test_queue_report)
+{
+	struct fixture *t = set_up("south", NULL);
+	Mw__UseTotals totals = MW__USE_TOTALS__INIT;
+	struct service_state *s = endpoints_service_state(&t->f, "s");
+
+	((struct plan_route *)t->r.route)->target_latency_us = 9 * USEC_PER_SEC;
+	t->r.generation = true;
+	t->r.need_tokens = 100;
+	list_add_tail(&t->f.waiting, &t->r.wait_node);
+	Mw__UseReport *report = endpoints_use_report(&t->f, 1);
+	ck_assert_uint_eq(report->n_queues, 1);
+	ck_assert_uint_eq(report->queues[0]->tokens, 100);
+	ck_assert_uint_eq(report->queues[0]->n_restricted, 1);
+	ck_assert_str_eq(report->queues[0]->restricted[0]->regions, "south");
+	report->queues[0]->tokens += 50; /* of requests without lists */
+	totals.queues = report->queues;
+	totals.n_queues = 1;
+	totals.partial = true;
+	endpoints_apply_totals(&t->f, &totals, 1);
+	ck_assert_uint_eq(s->queued_elsewhere.n, 2);
+	ck_assert_uint_eq(
+		demand_same(&s->queued_elsewhere, request_residency(&t->r)),
+		100);
+	endpoints_use_report_free(report);
+	/* A quarter of the free memory is in the south. */
+	ck_assert_uint_eq(
+		request_competing(&t->r, &s->queued_elsewhere, true, 1),
+		100 + 50 / 4);
+	endpoint(t, "i-s1")->serving = false;
+	struct residency anywhere = {0};
+	t->r.residency = anywhere;
+	ck_assert_uint_eq(
+		request_competing(&t->r, &s->queued_elsewhere, true, 1), 50);
+	list_del(&t->r.wait_node);
+	tear_down(t);
+}
+END_TEST
+
 int main(void)
 {
-	const TTest *const tests[] = {test_sets,       test_many_regions,
-				      test_choice,     test_move_target,
-				      test_capacity,   test_plan_change,
-				      test_map_change, test_region_down};
+	const TTest *const tests[] = {
+		test_sets,	  test_many_regions, test_choice,
+		test_move_target, test_capacity,     test_plan_change,
+		test_map_change,  test_region_down,  test_queue_report};
 
 	return check_main("residency", tests, sizeof(tests) / sizeof(*tests));
 }
--- a/tests/test_use.c
+++ b/tests/test_use.c
@@ -282,13 +282,55 @@
 }
 END_TEST
 
+/* Guards against parts of queues for different regions that are added up, or
+ * are missing from the totals of other hosts. */
+START_TEST(test_restricted_queues)
+{
+	struct use_table *u = use_new();
+
+	for (int h = 0; h < 3; h++) {
+		Mw__UseReport r = MW__USE_REPORT__INIT;
+		Mw__QueueRow row = MW__QUEUE_ROW__INIT, *rows[] = {&row};
+		Mw__RegionQueue north = MW__REGION_QUEUE__INIT, south = north;
+		Mw__RegionQueue *parts[] = {&south, &north};
+		char host[] = {'h', (char)('0' + h), 0};
+
+		north.regions = (char *)"north";
+		south.regions = (char *)"south";
+		north.tokens = 10;
+		south.tokens = 1;
+		row.service = (char *)"s";
+		row.tokens = 100;
+		row.restricted = parts;
+		row.n_restricted = h ? 2 : 1;
+		r.host = host;
+		r.incarnation = r.seq = 1;
+		r.queues = rows;
+		r.n_queues = 1;
+		use_store_report(u, &r, true, 0);
+	}
+	use_update_sums(u, 0);
+	Mw__UseTotals *t = use_totals_new(u, "h2", 0);
+	ck_assert_uint_eq(t->n_queues, 1);
+	ck_assert_uint_eq(t->queues[0]->tokens, 200);
+	ck_assert_uint_eq(t->queues[0]->n_restricted, 2);
+	for (int i = 0; i < 2; i++) {
+		const Mw__RegionQueue *q = t->queues[0]->restricted[i];
+		ck_assert_uint_eq(q->tokens,
+				  strcmp(q->regions, "north") ? 2 : 10);
+	}
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_sums_without_own, test_change_hidden_by_own,
-		test_partial_totals,   test_full_totals_after_gap,
-		test_random_reports,   test_message_intervals,
-		test_latest_limit};
+		test_restricted_queues,	    test_sums_without_own,
+		test_change_hidden_by_own,  test_partial_totals,
+		test_full_totals_after_gap, test_random_reports,
+		test_message_intervals,	    test_latest_limit};
 
 	return check_main("use", tests, sizeof(tests) / sizeof(*tests));
 }
