--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -136,8 +136,10 @@
 	}
 	/* The lists of regions may have changed while the copy was made. */
 	bool permitted = request_is_permitted(r, ep);
-	if (!permitted)
+	if (!permitted) {
 		counter_add(C_RESIDENCY, "move", 1);
+		log_move(r, "not allowed", now);
+	}
 	if (now < ep->paused_until_us || !permitted) {
 		move_target_failed(r, now);
 		return;
