--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -135,8 +135,10 @@
 		return;
 	}
 	/* What the request may use may have changed while the copy was made. */
-	if (!request_is_permitted(r, ep))
+	if (!request_is_permitted(r, ep)) {
 		counter_add(C_RESIDENCY, "move", 1);
+		log_move(r, "not allowed", now);
+	}
 	if (!request_may_use_endpoint(r, ep, now)) {
 		move_target_failed(r, now);
 		return;
