registry: Send on that an endpoint turns cold

Only announcements with other content reach the entry hosts, and the remaining time of the warm-up was not compared, so an endpoint that became cold without a restart stayed warm for them. An announcement is now a change if it moves the end of the warm-up, as processes that get only changes know it, by more than a second. One that only counts down is not.

tests/test_registry passes (release).

--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -162,6 +162,25 @@
 	       !row->left && row->info->incarnation == info->incarnation;
 }
 
+static int64_t cold_until_us(const Mw__EndpointInfo *info, int64_t now)
+{
+	return info->cold_ms ? now + (int64_t)info->cold_ms * 1000 : 0;
+}
+
+/*
+ * Whether the endpoint is cold for longer, or warm earlier, than processes
+ * expect that got no announcement since the last change.
+ */
+static bool changes_cold(const struct registry_row *row,
+			 const Mw__EndpointInfo *info, int64_t now)
+{
+	int64_t shift_us = MAX(cold_until_us(info, now), now) -
+			   MAX(row->cold_until_us, now);
+
+	return shift_us > REGISTRY_COLD_TOLERANCE_US ||
+	       (!info->cold_ms && shift_us < -REGISTRY_COLD_TOLERANCE_US);
+}
+
 enum registry_change registry_merge(struct registry *r,
 				    const Mw__EndpointInfo *info, int64_t now)
 {
@@ -183,7 +202,10 @@
 	if (copy->said_leaving || (same_incarnation && row->info->said_leaving))
 		set_said_leaving(copy);
 	bool left = info->leave_deadline_ms == REGISTRY_LEFT_DEADLINE_MS;
-	same = row && row->left == left && same_content(copy, row->info);
+	same = row && row->left == left && same_content(copy, row->info) &&
+	       !changes_cold(row, copy, now);
+	int64_t cold_until =
+		same ? row->cold_until_us : cold_until_us(copy, now);
 	struct registry_row *stored = g_new0(struct registry_row, 1);
 	g_autofree char *former_addr = NULL;
 	if (row) {
@@ -204,6 +226,7 @@
 	if (!same_incarnation)
 		stored->since_us = now;
 	stored->left = left;
+	stored->cold_until_us = cold_until;
 	g_hash_table_insert(r->rows, stored->info->id, stored);
 	if (!same) {
 		settle_address(r, copy->addr, stored);
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -32,6 +32,13 @@
 /* Time without an announcement after which a row is dropped. */
 #define REGISTRY_EXPIRY_US INT64_C(60000000)
 
+/*
+ * An announcement is a change if it moves the end of the endpoint's warm-up by
+ * more than this.  Announcements are late by less in ordinary load, and a host
+ * adds this time to what is announced.
+ */
+#define REGISTRY_COLD_TOLERANCE_US INT64_C(1000000)
+
 enum registry_change {
 	REGISTRY_IGNORED,   /* superseded by a stored row: no effect */
 	REGISTRY_REFRESHED, /* newer, with the same content */
@@ -42,11 +49,14 @@
 	Mw__EndpointInfo *info;
 	int64_t received_us; /* last announcement or change of state */
 	int64_t since_us;    /* first announcement of this incarnation */
-	bool follows;	     /* an earlier incarnation was known */
-	bool left;	     /* this incarnation has left or lost its address */
-	bool replaced;	     /* another server answered at its address */
-	bool holds;	     /* its address; at most one row does */
-	bool claims;	     /* an address that another row holds */
+	/* Until when processes that got only changes take it for cold; 0: warm.
+	 */
+	int64_t cold_until_us;
+	bool follows;  /* an earlier incarnation was known */
+	bool left;     /* this incarnation has left or lost its address */
+	bool replaced; /* another server answered at its address */
+	bool holds;    /* its address; at most one row does */
+	bool claims;   /* an address that another row holds */
 	/* Another endpoint claims its address, or has it after this one left:
 	 * the server there is to be asked. */
 	bool contested;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -376,6 +376,48 @@
 }
 END_TEST
 
+static enum registry_change merge_cold(struct registry *r, uint64_t seq,
+				       uint32_t cold_ms, int64_t now)
+{
+	Mw__EndpointInfo info = new_info("e", 5, seq, "h:1", "serving");
+
+	info.cold_ms = cold_ms;
+	return registry_merge(r, &info, now);
+}
+
+/*
+ * Guards against an endpoint that turns cold unnoticed by processes that get
+ * only changes, also by small steps, and against every announcement that
+ * counts down being sent to all.
+ */
+START_TEST(test_cold)
+{
+	struct registry *r = registry_new();
+	uint64_t seq = 1;
+
+	ck_assert_int_eq(merge_cold(r, seq++, 0, 0), REGISTRY_CHANGED);
+	ck_assert_int_eq(merge_cold(r, seq++, 0, 2 * SEC), REGISTRY_REFRESHED);
+	ck_assert_int_eq(merge_cold(r, seq++, 30000, 4 * SEC),
+			 REGISTRY_CHANGED);
+	ck_assert_int_eq(merge_cold(r, seq++, 28800, 5 * SEC + SEC / 2),
+			 REGISTRY_REFRESHED);
+	ck_assert_int_eq(merge_cold(r, seq++, 20000, 14 * SEC),
+			 REGISTRY_REFRESHED);
+	/* Two delays of 0.6 s add up. */
+	ck_assert_int_eq(merge_cold(r, seq++, 19000, 15 * SEC + 6 * SEC / 10),
+			 REGISTRY_REFRESHED);
+	ck_assert_int_eq(merge_cold(r, seq++, 18000, 17 * SEC + 2 * SEC / 10),
+			 REGISTRY_CHANGED);
+	/* Warm 17 s early, and then when that is expected. */
+	ck_assert_int_eq(merge_cold(r, seq++, 0, 18 * SEC), REGISTRY_CHANGED);
+	ck_assert_int_eq(merge_cold(r, seq++, 0, 19 * SEC), REGISTRY_REFRESHED);
+	ck_assert_int_eq(merge_cold(r, seq++, 5000, 20 * SEC),
+			 REGISTRY_CHANGED);
+	ck_assert_int_eq(merge_cold(r, seq++, 0, 25 * SEC), REGISTRY_REFRESHED);
+	registry_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_order,
@@ -390,7 +432,8 @@
 				      test_watch_sees_replaced_owner,
 				      test_expiry,
 				      test_false_entry_under_id_ends,
-				      test_false_leave_ends};
+				      test_false_leave_ends,
+				      test_cold};
 
 	return check_main("registry", tests, sizeof(tests) / sizeof(*tests));
 }
