forward: Place on cold endpoints only if no warm one has room

A cold endpoint is often the emptiest one, so requests and moves would prefer it while it is slow. Targets are now marked as cold, and are left out while a warm one has room, whatever its distance. Nothing marks them yet.

tests/test_place passes (release).

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -166,6 +166,7 @@
 	enum place_result result = PLACE_NO_ENDPOINT;
 	g_autofree struct spread_item *items = g_new(struct spread_item, n + 1);
 	size_t n_items = 0;
+	bool any_warm = false;
 
 	for (size_t i = 0; i < n; i++) {
 		const struct place_target *t = &targets[i];
@@ -173,8 +174,12 @@
 		if (!t->usable || t->excluded)
 			continue;
 		result = PLACE_NO_ROOM;
-		if (!has_room(t, request))
+		if (!has_room(t, request) || (t->cold && any_warm))
 			continue;
+		if (!t->cold && !any_warm) {
+			any_warm = true;
+			n_items = 0;
+		}
 		items[n_items++] = (struct spread_item){
 			.cost_us = placement_cost(t, request),
 			.group = MIN(t->group, SPREAD_GROUPS_MAX - 1),
@@ -189,14 +194,24 @@
 	return PLACE_OK;
 }
 
+/*
+ * Groups of the targets of moves: a higher one is used only if those below have
+ * no room.
+ */
+enum {
+	MOVE_WARM,
+	MOVE_RESERVED,
+	MOVE_COLD,
+	MOVE_COLD_RESERVED,
+	MOVE_GROUPS,
+};
+
 /*
  * Targets of group MOVE_GROUPS and above, those in other data centres, are
  * not used: such a copy would occupy the links of source and target for twice
  * as long, and generations whose copies wait for either link are lost when
  * their source ends.
  */
-#define MOVE_GROUPS 2
-
 static uint64_t move_room_tokens(const struct place_target *t)
 {
 	uint64_t memory = t->memory_tokens * MOVE_MEMORY_PERCENT / 100;
@@ -219,12 +234,13 @@
 	return -log(u) / rate;
 }
 
-/* Targets of a higher group are used only if those of lower ones are full. */
 static unsigned int move_group(const struct place_target *t)
 {
 	if (t->distance)
-		return 2;
-	return t->reserved ? 1 : 0;
+		return MOVE_GROUPS;
+	if (t->cold)
+		return t->reserved ? MOVE_COLD_RESERVED : MOVE_COLD;
+	return t->reserved ? MOVE_RESERVED : MOVE_WARM;
 }
 
 enum place_result place_choose_move_target(const struct place_target *targets,
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -23,6 +23,7 @@
 	bool usable;	   /* serving, and not avoided after a failure */
 	bool excluded;	   /* the request was there already */
 	bool rate_limited; /* takes no further request at present */
+	bool cold;	   /* used only if no warm one has room */
 	bool reserved;	   /* for moves from another endpoint that leaves */
 	unsigned int
 		distance;   /* 0: same data centre, 1: same region, 2: other */
@@ -95,7 +96,7 @@
  * endpoint copies one generation after another, and a copy waits until the
  * links of source and target are both free.  So each source has targets that
  * are not reserved for another source, and uses reserved ones only if those
- * have no room.
+ * have no room, and cold ones only if no warm one has.
  */
 enum place_result place_choose_move_target(const struct place_target *targets,
 					   size_t n, uint64_t need_tokens,
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -415,6 +415,37 @@
 }
 END_TEST
 
+/* Guards against requests and moves to a cold endpoint while a warm one has
+ * room for them, however much it costs, and against a refusal while only a cold
+ * one has. */
+START_TEST(test_cold)
+{
+	struct place_target t[] = {make_engine(0, 0, 0),
+				   make_engine(12, 20000, 2000),
+				   make_engine(0, 0, 0)};
+	size_t i = 9;
+
+	t[0].cold = t[2].cold = true;
+	t[1].distance = 2;
+	ck_assert_int_eq(place_choose(t, 3, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	t[1].open_requests = 24;
+	ck_assert_int_eq(place_choose(t, 3, &report, &i), PLACE_OK);
+	ck_assert_uint_ne(i, 1);
+	t[0].rate_limited = t[2].rate_limited = true;
+	ck_assert_int_eq(place_choose(t, 3, &report, &i), PLACE_NO_ROOM);
+
+	t[1] = make_engine(12, 20000, 2000);
+	t[1].reserved = true;
+	t[0].rate_limited = t[2].rate_limited = false;
+	ck_assert_int_eq(place_choose_move_target(t, 3, 4000, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	t[1].open_requests = 24;
+	ck_assert_int_eq(place_choose_move_target(t, 3, 4000, &i), PLACE_OK);
+	ck_assert_uint_ne(i, 1);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_avoids_prefill,
@@ -430,7 +461,8 @@
 				      test_flood_fills_memory,
 				      test_prefill_bounded,
 				      test_capacity,
-				      test_rate_limited};
+				      test_rate_limited,
+				      test_cold};
 
 	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
 }
