platform: Read the limits of cold endpoints

A service's cold_per_s and cold_start_s were not read, nor the settings bounds.cold_overshoot and bounds.cold_slack. They are now part of the plan and flags of the daemon.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -252,6 +252,11 @@
 		return fail(error, "--repeat-percent must be from 0 to 100");
 	if (c->repeat_spare < 0 || c->repeat_spare > 1000000)
 		return fail(error, "--repeat-spare must be from 0 to 1000000");
+	if (c->cold_overshoot_percent < 0 || c->cold_overshoot_percent > 10000)
+		return fail(error, "--cold-overshoot-percent must be from 0 to "
+				   "10000");
+	if (c->cold_slack < 0 || c->cold_slack > 1000000)
+		return fail(error, "--cold-slack must be from 0 to 1000000");
 	if (c->log_level < 3 || c->log_level > 7)
 		return fail(error, "--log-level must be from 3 to 7");
 	if (strcmp(c->policy, "mustardwall") != 0 &&
--- a/src/conf/flags.gen.h
+++ b/src/conf/flags.gen.h
@@ -12,6 +12,8 @@
 FLAG_INT(tolerate, "tolerate", 1, "N", "losses of control hosts to withstand, with --seeds; the group has 2N+1 voters")
 FLAG_INT(repeat_percent, "repeat-percent", 20, "N", "repeats that all entry hosts may send to one service, in percent of its requests (another interface)")
 FLAG_INT(repeat_spare, "repeat-spare", 40, "N", "repeats that all entry hosts may send to one service within ten seconds besides (another interface)")
+FLAG_INT(cold_overshoot_percent, "cold-overshoot-percent", 150, "N", "requests that all entry hosts together may send to a cold endpoint in one second, in percent of its service's cold_per_s (another interface)")
+FLAG_INT(cold_slack, "cold-slack", 5, "N", "requests that they may send to it in one second besides (another interface)")
 FLAG_FLAG(open_cluster, "open-cluster", 0, "", "accept other processes without a shared key; for networks that nobody else can reach")
 FLAG_LIST(dc_regions, "dc-regions", "", "DC=REGION,...", "region of each data centre; endpoints of one that is not listed are in no known region")
 FLAG_LIST(peers, "peers", "", "HOST/IP:PORT,...", "further entry processes of this data centre that may act as hub")
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -15,6 +15,10 @@
 struct plan_service {
 	char *name;
 	char *health_path;
+	double cold_per_s; /* requests to a cold endpoint of all hosts
+			      together, 0: no limit */
+	int64_t cold_us;   /* for which an endpoint is cold after its start, 0:
+			      not stated */
 	unsigned int max_conns;	   /* of all hosts together, 0: no limit */
 	bool runs_model;	   /* its endpoints run a model */
 	unsigned int slots;	   /* generations that an engine runs at once */
