forward: Limit what a cold endpoint gets

Nothing limited what a cold endpoint receives, so the queues of all hosts met at it. Each host now keeps an endpoint's state (policy/warmup.h), fed by announcements, X-Cold-Ms in the health check that asks who uses an address, and failures; it is checked with the other limits of the candidates, counts a copy and its resume, and a resume is checked again if the target has turned cold since. endpoints_assume_cold() is for the return of a data centre. A service without cold_per_s is not affected.

Lines endpoint_cold and endpoint_warm are logged, and two counters added.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -52,19 +52,56 @@
 	return g;
 }
 
+/*
+ * Requests a second that all hosts have for each of the service's endpoints
+ * with a free slot: those that arrive, and those that wait and are all placed
+ * when there is room.
+ */
+static double wanted_per_endpoint(const struct candidates *c,
+				  const struct request *r,
+				  const struct rate_hosts *hosts)
+{
+	const struct service_state *s =
+		endpoints_service_state(r->fwd, r->service->name);
+	double wanted =
+		(double)hosts->arrivals * USEC_PER_SEC / RATE_WINDOW_US +
+		(double)r->fwd->n_waiting;
+	unsigned int with_room = 0;
+
+	if (hosts->recent)
+		wanted += (double)hosts->arrivals_elsewhere * USEC_PER_SEC /
+				  RATE_WINDOW_US +
+			  (double)s->queued_elsewhere_tokens /
+				  (double)MAX(r->need_tokens, 1);
+	else
+		wanted *= hosts->n;
+	for (size_t i = 0; i < c->n; i++)
+		with_room += c->targets[i].usable &&
+			     c->targets[i].open_requests < c->targets[i].slots;
+	return wanted / MAX(with_room, 1);
+}
+
 /* Marks the targets whose limits leave no request for this host. */
-static void apply_limits(struct candidates *c, struct fwd *f,
-			 const char *service, int64_t now)
+static void apply_limits(struct candidates *c, struct request *r, int64_t now)
 {
+	struct fwd *f = r->fwd;
+	const char *service = r->service->name;
 	struct rate_hosts hosts = endpoints_rate_hosts(f, service, now);
+	const struct warmup_pace *pace = endpoints_warmup_pace(f, service);
+	double wanted = wanted_per_endpoint(c, r, &hosts);
 
 	for (size_t i = 0; i < c->n; i++)
 		hosts.endpoints += c->targets[i].usable &&
 				   rate_is_below_limit(&c->endpoints[i]->rate,
 						       &hosts, now);
-	for (size_t i = 0; i < c->n; i++)
+	for (size_t i = 0; i < c->n; i++) {
+		struct fwd_endpoint *ep = c->endpoints[i];
+
 		c->targets[i].rate_limited =
-			!rate_has_room(&c->endpoints[i]->rate, &hosts, now);
+			!rate_has_room(&ep->rate, &hosts, now) ||
+			!warmup_has_room(&ep->warmup, pace, wanted, now);
+		c->targets[i].cold = warmup_is_cold(&ep->warmup, pace, now);
+	}
 }
 
 /*
@@ -115,7 +152,7 @@
 			.group = group_of(&c, ep->dc),
 		};
 	}
-	apply_limits(&c, f, r->service->name, now);
+	apply_limits(&c, r, now);
 	return c;
 }
 
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -82,6 +82,7 @@
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
 	ep->rate = (struct rate){0};
+	ep->warmup.cold_until_us = ep->warmup.assumed_us = 0;
 	ep->paused_until_us = 0;
 }
 
@@ -109,6 +110,7 @@
 		ep = g_new0(struct fwd_endpoint, 1);
 		g_strlcpy(ep->id, info->id, sizeof(ep->id));
 		list_init(&ep->requests);
+		warmup_init(&ep->warmup, g_rand_double(f->rand));
 		g_hash_table_insert(f->endpoints, ep->id, ep);
 		reset_incarnation(ep, info);
 	} else if (ep->incarnation != info->incarnation) {
@@ -149,12 +151,33 @@
 		f->place_waiting = true;
 }
 
+static void apply_announced_cold(struct fwd *f, const Mw__EndpointInfo *info,
+				 enum registry_change change, int64_t now)
+{
+	const struct registry_row *row = registry_find(f->registry, info->id);
+	struct fwd_endpoint *ep = endpoints_find(f, info->id);
+	int64_t cold_us = 0;
+	/* A row without news may have waited at its sender for any time. */
+	int64_t made_us = change == REGISTRY_CHANGED ? now - WARMUP_ROW_LAG_US
+						     : INT64_MIN;
+
+	/* Of an older announcement only the flags count. */
+	if (!ep || !row || row->info->seq != info->seq)
+		return;
+	if (info->cold_ms)
+		cold_us = (int64_t)info->cold_ms * USEC_PER_MSEC +
+			  REGISTRY_COLD_TOLERANCE_US;
+	endpoints_apply_cold(f, ep, cold_us, made_us, "announcement", now);
+}
+
 Mw__EndpointInfo *endpoints_update(struct fwd *f, const Mw__EndpointInfo *info,
 				   int64_t now)
 {
-	bool ignored =
-		registry_merge(f->registry, info, now) == REGISTRY_IGNORED;
+	enum registry_change change = registry_merge(f->registry, info, now);
+	bool ignored = change == REGISTRY_IGNORED;
 
+	if (!ignored)
+		apply_announced_cold(f, info, change, now);
 	if (f->place_waiting) {
 		f->place_waiting = false;
 		request_place_waiting(f, now);
@@ -224,6 +247,7 @@
 	bool load_decreased = false;
 
 	f->n_hosts = MAX(totals->hosts, 1u);
+	warmup_hosts_update(&f->warmup_hosts, f->n_hosts, now);
 	g_hash_table_iter_init(&iter, f->endpoints);
 	while (!totals->partial &&
 	       g_hash_table_iter_next(&iter, NULL, (void **)&ep))
@@ -344,6 +368,104 @@
 	g_free(r);
 }
 
+/* ---- warm-up ---- */
+
+static const struct plan_service *service_of(struct fwd *f, const char *name)
+{
+	return f->plan ? plan_service(f->plan, name) : NULL;
+}
+
+const struct warmup_pace *endpoints_warmup_pace(struct fwd *f,
+						const char *service)
+{
+	struct service_state *s = endpoints_service_state(f, service);
+	const struct plan_service *p = service_of(f, service);
+	unsigned int hosts = warmup_hosts_max(&f->warmup_hosts);
+	struct warmup_limits l = {0};
+
+	if (p && p->cold_per_s > 0)
+		l = (struct warmup_limits){
+			.per_s = p->cold_per_s,
+			.bound = p->cold_per_s *
+					 f->conf->cold_overshoot_percent / 100 +
+				 f->conf->cold_slack,
+			.bounds_warm = p->runs_model};
+	if (hosts != s->warmup_hosts || l.per_s != s->warmup_limits.per_s ||
+	    l.bound != s->warmup_limits.bound ||
+	    l.bounds_warm != s->warmup_limits.bounds_warm) {
+		s->warmup_hosts = hosts;
+		s->warmup_limits = l;
+		s->warmup_pace = warmup_pace(&l, hosts);
+	}
+	return &s->warmup_pace;
+}
+
+/* Logs and counts that the endpoint has turned cold or warm. */
+static void note_warmup(struct fwd *f, struct fwd_endpoint *ep,
+			const char *source, int64_t now)
+{
+	const struct warmup_pace *pace = endpoints_warmup_pace(f, ep->service);
+	bool is_cold = warmup_is_cold(&ep->warmup, pace, now);
+
+	if (is_cold == ep->was_cold)
+		return;
+	ep->was_cold = is_cold;
+	if (is_cold)
+		counter_add(C_ENDPOINTS_COLD, source, 1);
+	struct slog l = slog_begin(is_cold ? "endpoint_cold" : "endpoint_warm");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_str(&l, "source", source);
+	if (is_cold)
+		slog_int(&l, "cold_us", ep->warmup.cold_until_us - now);
+	slog_int(&l, "hosts", f->n_hosts);
+	slog_int(&l, "hosts_max", warmup_hosts_max(&f->warmup_hosts));
+	slog_int(&l, "period_us", pace->period_us);
+	slog_int(&l, "sums_age_us", now - f->totals_received_us);
+	slog_int(&l, "open_here", ep->open_here);
+	slog_end(&l);
+}
+
+void endpoints_apply_cold(struct fwd *f, struct fwd_endpoint *ep,
+			  int64_t cold_us, int64_t made_us, const char *source,
+			  int64_t now)
+{
+	warmup_announce(&ep->warmup, cold_us, made_us, now);
+	note_warmup(f, ep, source, now);
+}
+
+static void assume_cold(struct fwd *f, struct fwd_endpoint *ep,
+			const char *source, int64_t now)
+{
+	const struct plan_service *s = service_of(f, ep->service);
+
+	warmup_assume_cold(
+		&ep->warmup,
+		s && s->cold_us ? s->cold_us : WARMUP_COLD_DEFAULT_US, now);
+	note_warmup(f, ep, source, now);
+}
+
+void endpoints_assume_cold(struct fwd *f, const char *dc, int64_t now)
+{
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+
+	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (!strcmp(ep->dc, dc))
+			assume_cold(f, ep, "evacuation", now);
+}
+
+void endpoints_record_sent(struct fwd *f, struct fwd_endpoint *ep,
+			   unsigned int n, int64_t now)
+{
+	const struct warmup_pace *pace = endpoints_warmup_pace(f, ep->service);
+
+	if (warmup_is_cold(&ep->warmup, pace, now))
+		counter_add(C_COLD_SENT, NULL, n);
+	warmup_record_sent(&ep->warmup, pace, n, now);
+}
+
 void endpoints_record_failure(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now)
 {
@@ -362,6 +484,7 @@
 	slog_int(&l, "recent_worked_elsewhere", ep->health.succeeded_elsewhere);
 	slog_int(&l, "wait_us", ep->avoid_until_us - now);
 	slog_end(&l);
+	assume_cold(f, ep, "failure", now);
 }
 
 static void state_limit(struct fwd *f, struct fwd_endpoint *ep, bool limited,
@@ -507,6 +630,10 @@
 		if (ep->move_due_us && now >= ep->move_due_us)
 			move_endpoint_generations(f, ep, now);
 	g_hash_table_iter_init(&iter, f->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (ep->was_cold || now < ep->warmup.cold_until_us)
+			note_warmup(f, ep, "time", now);
+	g_hash_table_iter_init(&iter, f->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		if (ep->is_replaced && ep->open_here)
 			request_end_attempts(ep, "endpoint replaced", now);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -23,6 +23,7 @@
 #include "policy/est.h"
 #include "policy/owner.h"
 #include "policy/registry.h"
+#include "policy/warmup.h"
 
 /*
  * An entry host that forwards requests unchanged.  The formats that callers and
@@ -81,6 +82,8 @@
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
 	struct rate rate;    /* of requests, if the endpoint limits them */
+	struct warmup warmup;	 /* limit of requests while it is cold */
+	bool was_cold;		 /* at the last tick */
 	int64_t paused_until_us; /* it asked for no requests before */
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
@@ -109,6 +112,10 @@
 	uint64_t queued_elsewhere_tokens; /* in the queues of other hosts */
 	struct rate_window arrivals;	  /* requests of callers */
 	unsigned int arrivals_elsewhere;  /* lately, on other hosts */
+	/* endpoints_warmup_pace(), for these limits and this number of hosts */
+	struct warmup_limits warmup_limits;
+	unsigned int warmup_hosts;
+	struct warmup_pace warmup_pace;
 };
 
 struct fwd {
@@ -142,6 +149,7 @@
 	char avoid_host[64];	    /* one that stopped sending totals */
 	int64_t avoid_until_us;	    /* for avoid_host */
 	unsigned int n_hosts;	    /* entry hosts, this one included */
+	struct warmup_hosts warmup_hosts; /* the most that there may be */
 
 	/* endpoints.c */
 	struct registry *registry;
@@ -272,6 +280,19 @@
  * of endpoints. */
 struct rate_hosts endpoints_rate_hosts(struct fwd *f, const char *service,
 				       int64_t now);
+/* What this host may send to each endpoint of the service. */
+const struct warmup_pace *endpoints_warmup_pace(struct fwd *f,
+						const char *service);
+/* Applies what the endpoint states of its warm-up, made at made_us or later. */
+void endpoints_apply_cold(struct fwd *f, struct fwd_endpoint *ep,
+			  int64_t cold_us, int64_t made_us, const char *source,
+			  int64_t now);
+/* Counts the endpoints of a data centre that is back after an evacuation as
+ * cold, until they state otherwise. */
+void endpoints_assume_cold(struct fwd *f, const char *dc, int64_t now);
+/* Records n requests that are sent to the endpoint now or soon. */
+void endpoints_record_sent(struct fwd *f, struct fwd_endpoint *ep,
+			   unsigned int n, int64_t now);
 /* Records an attempt that was answered. */
 void endpoints_record_success(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -54,6 +54,9 @@
 /* Time until a move without a target, or with a failed copy, is retried. */
 #define RETRY_INTERVAL_US (120 * USEC_PER_MSEC)
 
+/* Requests that a move sends to its target: the copy and the resume. */
+#define COPY_REQUESTS 2
+
 static void send_copy_order(struct request *r);
 static void begin_copy(struct request *r, int64_t now);
 static void delete_copy(struct request *r, const char *handle);
@@ -125,6 +128,21 @@
 		relay_abort(r, "the generation could not be moved", now);
 }
 
+/* Whether the target takes the resume: it was counted with the copy, except if
+ * the target has turned cold since. */
+static bool take_resume(struct request *r, struct fwd_endpoint *ep, int64_t now)
+{
+	const struct warmup_pace *pace =
+		endpoints_warmup_pace(r->fwd, ep->service);
+
+	if (r->move.cold_target || !warmup_is_cold(&ep->warmup, pace, now))
+		return true;
+	if (!warmup_has_room(&ep->warmup, pace, 0, now))
+		return false;
+	endpoints_record_sent(r->fwd, ep, 1, now);
+	return true;
+}
+
 static void resume_at_target(struct request *r, int64_t now)
 {
 	struct fwd_endpoint *ep =
@@ -134,7 +152,7 @@
 		begin_copy(r, now);
 		return;
 	}
-	if (now < ep->paused_until_us) {
+	if (now < ep->paused_until_us || !take_resume(r, ep, now)) {
 		move_target_failed(r, now);
 		return;
 	}
@@ -256,6 +274,9 @@
 	if (!ep)
 		return false;
 	g_strlcpy(r->move.target_addr, ep->addr, sizeof(r->move.target_addr));
+	r->move.cold_target = warmup_is_cold(
+		&ep->warmup, endpoints_warmup_pace(r->fwd, ep->service), now);
+	endpoints_record_sent(r->fwd, ep, COPY_REQUESTS, now);
 	request_add_copy(r, &r->move.target, ep);
 	return true;
 }
--- a/src/forward/owner_check.c
+++ b/src/forward/owner_check.c
@@ -89,7 +89,15 @@
 {
 	struct owner_check *c = arg;
 
+	struct fwd_endpoint *ep = endpoints_find(c->fwd, c->endpoint);
+	struct endpoint_notice notice =
+		c->fwd->iface->decode_notice(fetch, status);
+
 	c->answer = c->fwd->iface->decode_owner(fetch, status, c->endpoint);
+	if (c->answer == OWNER_IS_HOLDER && notice.has_cold && ep &&
+	    ep->incarnation == c->incarnation)
+		endpoints_apply_cold(c->fwd, ep, notice.cold_us, c->asked_us,
+				     "health check", clock_mono_us());
 }
 
 static void on_done(void *arg, struct fetch *fetch,
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -561,6 +561,8 @@
 		slog_str(&l, "resume_from", resume_from);
 	slog_end(&l);
 	rate_record_sent(&ep->rate, now);
+	if (!resume_from)
+		endpoints_record_sent(f, ep, 1, now);
 	struct fetch *fetch = fetch_start(f->fetcher, &spec, &attempt_ops, r);
 	g_ptr_array_unref(h);
 	return fetch;
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -66,6 +66,7 @@
 				       for the end of the source's event */
 	struct buf target_events;   /* received meanwhile */
 	unsigned int copy_attempts; /* copy orders sent */
+	bool cold_target;	    /* known to be cold when it was chosen */
 	int64_t start_us;
 	int64_t due_us; /* when MOVE_WAIT or MOVE_RESUME takes its next step */
 };
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -74,6 +74,8 @@
 	bool leaving;	    /* it ends soon and wants no new requests */
 	bool has_limit;	    /* it limits the requests that it takes */
 	double limit_per_s; /* requests a second, from all hosts together */
+	bool has_cold;	    /* it states whether it is cold */
+	int64_t cold_us;    /* for which it is cold from now on, 0: warm */
 	int64_t pause_us;   /* it wants no requests from this host for so long;
 			       0: no such wish */
 };
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -80,6 +80,11 @@
 	"Steps of moving generations to other endpoints, by outcome.")
 COUNTER(ENDPOINT_PAUSES, "mustardwall_endpoint_pauses_total", "pauses", NULL,
 	"Pauses that endpoints asked for when they turned a request away.")
+COUNTER(ENDPOINTS_COLD, "mustardwall_endpoints_cold_total", "endpoints",
+	"source",
+	"Endpoints that turned cold, by what this host learned it from.")
+COUNTER(COLD_SENT, "mustardwall_cold_sent_total", "requests", NULL,
+	"Requests and copies of generations that were sent to cold endpoints.")
 COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
 	"outcome",
 	"Connections to endpoints that broke off an attempt, by outcome.")
