tests: Late learners whose queues fill, stale counts, loads before

Mutations of policy/warmup.c survived test_warmup: without the draw of hosts and without the single request in a crowd, because queues were full from the start and hosts had spread by themselves; with hardly any margin for chance, as cold_per_s hid it; and without the limit of slots taken in advance. The late learners' queues now also fill at the moment the endpoint turns cold, all hosts have a stale count, also with a bound equal to the rate, and an endpoint turns cold after a load.

--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -25,6 +25,9 @@
  * tick at different times and know nothing of each other but their number.
  */
 struct site {
+	const struct warmup_limits *limits;
+	struct warmup_pace pace; /* for pace_hosts hosts */
+	unsigned int pace_hosts;
 	unsigned int n_hosts;
 	struct warmup_hosts hosts[HOSTS_MAX];
 	struct warmup state[HOSTS_MAX][ENDPOINTS];
@@ -42,6 +45,7 @@
 {
 	struct site *s = g_new0(struct site, 1);
 
+	s->limits = &model_limits;
 	s->n_hosts = n_hosts;
 	for (unsigned int h = 0; h < n_hosts; h++)
 		for (unsigned int e = 0; e < ENDPOINTS; e++)
@@ -67,22 +71,19 @@
 
 static void step(struct site *s, int64_t now)
 {
-	static unsigned int cached_hosts;
-	static struct warmup_pace pace;
-
 	for (unsigned int h = 0; h < s->n_hosts; h++) {
 		unsigned int n = warmup_hosts_max(&s->hosts[h]);
 
 		if ((now / STEP_US + h) % TICK_STEPS)
 			continue;
-		if (n != cached_hosts)
-			pace = warmup_pace(&model_limits, n);
-		cached_hosts = n;
+		if (n != s->pace_hosts)
+			s->pace = warmup_pace(s->limits, n);
+		s->pace_hosts = n;
 		for (unsigned int e = 0; e < ENDPOINTS; e++) {
-			if (!warmup_has_room(&s->state[h][e], &pace,
+			if (!warmup_has_room(&s->state[h][e], &s->pace,
 					     s->wanted_per_s, now))
 				continue;
-			warmup_record_sent(&s->state[h][e], &pace, 1, now);
+			warmup_record_sent(&s->state[h][e], &s->pace, 1, now);
 			ck_assert_uint_lt(s->n_sent[e], SENDS_MAX);
 			s->sent_us[e][s->n_sent[e]++] = now;
 		}
@@ -160,6 +161,30 @@
 }
 END_TEST
 
+/* Guards against a period without a margin for chance: all hosts know of only
+ * 70 while there are half as many more, also where the bound is no more than
+ * the rate of the service. */
+START_TEST(test_stale_count)
+{
+	const struct warmup_limits tight = {.per_s = PER_S, .bound = PER_S};
+	const struct warmup_limits *const limits[] = {&model_limits, &tight};
+
+	for (guint32 seed = 1; seed <= 2 * SEEDS; seed++) {
+		g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+		g_autofree struct site *s = site_new(105, rand);
+
+		s->limits = limits[seed % 2];
+		count_hosts(s, 0, 70, 100 * SEC);
+		for (unsigned int h = 0; h < s->n_hosts; h++)
+			turn_cold(s, h, 100 * SEC);
+		for (int64_t t = 0; t < RUN_US; t += STEP_US)
+			step(s, 100 * SEC + t);
+		ck_assert_uint_le(most_in_a_second(s, 0),
+				  (unsigned int)s->limits->bound);
+	}
+}
+END_TEST
+
 /* Guards against hosts that are cut off and do not know of those added. */
 START_TEST(test_cut_off_and_added)
 {
@@ -179,24 +204,23 @@
 }
 END_TEST
 
-static void run_learned_late(unsigned int n)
+/* The queues fill at from_us; the endpoints are cold from cold_us on. */
+static void run_learned_late(unsigned int n, int64_t from_us, int64_t cold_us)
 {
-	const int64_t cold_us = 104 * SEC;
-
 	for (guint32 seed = 1; seed <= SEEDS; seed++) {
 		g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
 		g_autofree struct site *s = site_new(n, rand);
 		int64_t learn_us[HOSTS_MAX];
 
-		count_hosts(s, 0, n, 100 * SEC);
+		count_hosts(s, 0, n, 90 * SEC);
 		/* Ten requests wait on each host, for 20 endpoints. */
 		s->wanted_per_s = MAX(10.0 * n / 20, BOUND);
 		for (unsigned int h = 0; h < n; h++)
 			learn_us[h] =
 				cold_us +
-				(h % 3 ? 17 * 100 * MS
+				(h % 3 ? 1700 * MS
 				       : g_rand_int_range(rand, 0, 1700) * MS);
-		for (int64_t t = 100 * SEC; t < 100 * SEC + RUN_US;
+		for (int64_t t = from_us; t < cold_us + RUN_US / 2;
 		     t += STEP_US) {
 			for (unsigned int h = 0; h < n; h++)
 				if (t >= learn_us[h] &&
@@ -208,12 +232,14 @@
 	}
 }
 
-/* Guards against more than the bound by hosts that learn 1.7 s late, all with
- * full queues, that an endpoint is cold. */
+/* Guards against more than the bound by hosts that learn 1.7 s late that an
+ * endpoint is cold, whose queues have been full or fill just then. */
 START_TEST(test_learned_late)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++)
-		run_learned_late(fleets[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
+		run_learned_late(fleets[i], 100 * SEC, 104 * SEC);
+		run_learned_late(fleets[i], 104 * SEC, 104 * SEC);
+	}
 }
 END_TEST
 
@@ -270,6 +296,25 @@
 }
 END_TEST
 
+/* Guards against an endpoint that gets nothing while it is cold as it got much
+ * while it was warm. */
+START_TEST(test_cold_after_load)
+{
+	const struct warmup_pace pace = warmup_pace(&model_limits, 15);
+	struct warmup w;
+	bool has_room = false;
+
+	warmup_init(&w, 0);
+	for (int i = 0; i < 100; i++)
+		warmup_record_sent(&w, &pace, 1, 10 * SEC);
+	warmup_announce(&w, 60 * SEC, 0, 10 * SEC);
+	for (int64_t t = 10 * SEC; t < 10 * SEC + 3 * pace.period_us;
+	     t += STEP_US)
+		has_room |= warmup_has_room(&w, &pace, 0, t);
+	ck_assert(has_room);
+}
+END_TEST
+
 /* Guards against a failed endpoint that is used as a warm one because of an
  * announcement made before the failure, and against one that stays cold. */
 START_TEST(test_assumed)
@@ -333,9 +378,17 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_return,	   test_power_loss, test_cut_off_and_added,
-		test_learned_late, test_warm_load,  test_copy_counts_twice,
-		test_assumed,	   test_no_limit,   test_hosts,
+		test_return,
+		test_power_loss,
+		test_stale_count,
+		test_cold_after_load,
+		test_cut_off_and_added,
+		test_learned_late,
+		test_warm_load,
+		test_copy_counts_twice,
+		test_assumed,
+		test_no_limit,
+		test_hosts,
 	};
 
 	return check_main("warmup", tests, sizeof(tests) / sizeof(*tests));
