forward: Hold requests after a stall until control has answered

A host that was frozen across an evacuation sent the requests that had arrived meanwhile before it read the news of the order.

After a stall of more than 3 s the host sends nothing until a control process has answered a request made after the stall, for 1 s at most.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -74,7 +74,8 @@
 static bool may_send(const struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
 {
-	return !endpoints_is_evacuated(r->fwd, ep) && ep->serving &&
+	return now >= r->fwd->hold_until_us &&
+	       !endpoints_is_evacuated(r->fwd, ep) && ep->serving &&
 	       !ep->is_gone && now >= ep->avoid_until_us &&
 	       now >= ep->paused_until_us &&
 	       !health_is_unhealthy(&ep->health, now);
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -18,6 +18,9 @@
  */
 #define DOCUMENT_TIMEOUT_MS 800
 
+/* Two processes may be asked in this time (DOCUMENT_TIMEOUT_MS). */
+#define STALL_HOLD_US (1000 * USEC_PER_MSEC)
+
 /* Usage reports are sent at least this often: control processes drop a host's
  * usage USE_REPORT_VALID_US after its last report. */
 #define USE_REPORT_INTERVAL_US (700 * USEC_PER_MSEC)
@@ -106,8 +109,12 @@
 		slog_str(&l, "error", err_info(err)->kind);
 		slog_end(&l);
 	}
-	if (err == 0 && reply->body_case == MW__FRAME__BODY_DOCUMENT_TEXT)
-		accept_document(f, reply->document_text);
+	if (err < 0 || reply->body_case != MW__FRAME__BODY_DOCUMENT_TEXT)
+		return;
+	accept_document(f, reply->document_text);
+	if (reply->document_text->version &&
+	    f->document_sent_us >= f->stalled_us)
+		f->hold_until_us = 0;
 }
 
 /*
@@ -117,6 +124,8 @@
  */
 static bool may_request_document(const struct fwd *f)
 {
+	if (f->hold_until_us > clock_mono_us())
+		return !f->document_requested;
 	return f->latest_tree_version > f->tree_version &&
 	       !f->document_requested && !f->parse.reader;
 }
@@ -133,6 +142,7 @@
 	if (peer_call(p, &frame, DOCUMENT_TIMEOUT_MS, on_document, f) != 0)
 		return;
 	f->document_requested = true;
+	f->document_sent_us = clock_mono_us();
 	f->document_requests++;
 }
 
@@ -422,6 +432,16 @@
 		send_use_report(f, now);
 }
 
+void control_link_handle_stall(struct fwd *f, int64_t stall_us, int64_t now)
+{
+	f->stalled_us = now;
+	f->hold_until_us = now + STALL_HOLD_US;
+	struct slog l = slog_begin("stalled");
+	slog_int(&l, "stall_us", stall_us);
+	slog_int(&l, "tree_version", (int64_t)f->tree_version);
+	slog_end(&l);
+}
+
 void control_link_tick(struct fwd *f, int64_t now)
 {
 	control_link_flush(f, now);
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -14,6 +14,13 @@
 /* Interval of the work that is due at a time rather than on an event. */
 #define TICK_INTERVAL_S 0.02
 
+/*
+ * After a stall of the process that is longer than this, it asks what was
+ * ordered meanwhile.  Orders must be in force on hosts within 5 s; a host with
+ * little processor time is without it for less than 1 s at a time.
+ */
+#define STALL_MIN_US (3 * USEC_PER_SEC)
+
 /* Idle connections to endpoints that are kept open for copy orders. */
 #define IDLE_CONNS_MAX 16
 
@@ -116,6 +123,22 @@
 		drain_tick(f, now);
 }
 
+/*
+ * Called before the events of an iteration are handled, as the priority of the
+ * watcher is the highest one.
+ */
+static void on_check(struct ev_loop *loop, ev_check *w, int revents)
+{
+	struct fwd *f = w->data;
+	int64_t now = clock_mono_us(), gap_us = now - f->last_check_us;
+
+	(void)loop;
+	(void)revents;
+	if (f->last_check_us && gap_us > STALL_MIN_US)
+		control_link_handle_stall(f, gap_us, now);
+	f->last_check_us = now;
+}
+
 /* Called before the loop waits for events, after it has handled all pending
  * ones. */
 static void on_flush(struct ev_loop *loop, ev_prepare *w, int revents)
@@ -240,6 +263,10 @@
 	ev_prepare_init(&f->flush, on_flush);
 	f->flush.data = f;
 	ev_prepare_start(loop, &f->flush);
+	ev_check_init(&f->check, on_check);
+	ev_set_priority(&f->check, EV_MAXPRI);
+	f->check.data = f;
+	ev_check_start(loop, &f->check);
 	watch_signal(f, &f->sigterm, SIGTERM, on_term);
 	watch_signal(f, &f->sigint, SIGINT, on_term);
 	watch_signal(f, &f->sighup, SIGHUP, on_hangup);
@@ -256,6 +283,7 @@
 
 	ev_timer_stop(f->loop, &f->tick);
 	ev_prepare_stop(f->loop, &f->flush);
+	ev_check_stop(f->loop, &f->check);
 	if (f->caller_httpd)
 		httpd_free(f->caller_httpd);
 	if (f->ready_httpd)
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -131,9 +131,12 @@
 	uint64_t latest_tree_version; /* highest version announced */
 	bool document_requested;      /* a request for it is open */
 	unsigned int document_requests; /* sent since the start */
-	unsigned int proposals;		/* sent since the start */
-	struct evacuation evacuation;	/* data centres that get nothing more */
-	struct plan *plan;		/* in force; NULL before the first */
+	int64_t document_sent_us;	/* last request */
+	int64_t stalled_us;	/* end of the last long stall, see below */
+	int64_t hold_until_us;	/* no requests are sent before */
+	unsigned int proposals; /* sent since the start */
+	struct evacuation evacuation; /* data centres that get nothing more */
+	struct plan *plan;	      /* in force; NULL before the first */
 	struct plan_parse parse;
 	uint64_t use_seq; /* of the last usage report */
 	int64_t use_sent_us;
@@ -166,6 +169,8 @@
 
 	ev_timer tick;
 	ev_prepare flush;
+	ev_check check;
+	int64_t last_check_us;
 	ev_signal sigterm, sigint, sighup;
 	struct drain drain; /* since the first SIGTERM or SIGINT */
 	bool quiesced;	    /* new connections are no longer accepted */
@@ -194,6 +199,13 @@
  */
 void control_link_flush(struct fwd *f, int64_t now);
 
+/*
+ * The process did not run for a long time, so data centres may have been
+ * evacuated meanwhile.  Requests that arrived are held until a control process
+ * has answered, for a second at most: a host that is cut off goes on sending.
+ */
+void control_link_handle_stall(struct fwd *f, int64_t stall_us, int64_t now);
+
 /*
  * Proposes a command to the replicated log through some control process.
  * Returns 0, or a negative error if none is connected; then `done` is not
