cli, entry: Evacuate a data centre with the tool

Only the platform's HTTP interface took such orders, and the product's own entry hosts did not follow them.

Add `mustardwall evacuate DC [--end]` and POST /admin/evacuate, list evacuations in the status of control processes with operator, time and open requests, and show them under what is degraded. The tool sends an order to the next process if one does not answer, as orders are idempotent. The product's hosts exclude endpoints of evacuated data centres, for generations and for calls of services.

--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -316,6 +316,7 @@
 	{"POST", "/admin/voter/add", true, NULL},
 	{"POST", "/admin/voter/remove", true, NULL},
 	{"POST", "/admin/order", true, NULL},
+	{"POST", "/admin/evacuate", true, NULL},
 };
 
 void admin_handle(void *ctx, struct httpd_req *http)
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -36,6 +36,7 @@
 	char *base, *id, *comment;
 	char **leave_out;
 	int resolved;
+	int end;
 	int check;
 	char *request, *endpoint, *account, *change, *since, *kind;
 
@@ -214,6 +215,7 @@
 int cli_timeline(struct cli *c);
 int cli_explain(struct cli *c);
 int cli_drain(struct cli *c);
+int cli_evacuate(struct cli *c);
 int cli_host_remove(struct cli *c);
 int cli_voter_add(struct cli *c);
 int cli_voter_remove(struct cli *c);
--- a/src/cli/cli_degraded.c
+++ b/src/cli/cli_degraded.c
@@ -308,6 +308,62 @@
 	}
 }
 
+/* Requests that run on the endpoints of a data centre. */
+static int64_t running_in(const struct cli_view *v, const char *dc)
+{
+	int64_t n = 0;
+	json_t *e;
+	size_t i;
+
+	json_array_foreach((json_t *)v->rows, i, e)
+	{
+		if (!strcmp(cli_str(e, "dc"), dc))
+			n += cli_int(e, "running");
+	}
+	return n;
+}
+
+/* By the answer with the newest version: others may have old orders. */
+static void add_evacuations(json_t *out, const struct cli_view *v,
+			    int64_t now_us)
+{
+	const json_t *newest = NULL;
+	json_t *a, *row;
+	size_t i;
+
+	json_array_foreach((json_t *)v->answers, i, a)
+	{
+		if (json_object_get(a, "evacuations") &&
+		    (!newest ||
+		     cli_int(a, "version") > cli_int(newest, "version")))
+			newest = a;
+	}
+	json_array_foreach(json_object_get(newest, "evacuations"), i, row)
+	{
+		const char *dc = cli_str(row, "dc");
+		g_autofree char *help = g_strdup_printf(
+			"mustardwall evacuate %s --end withdraws the order",
+			dc);
+		struct line line = {
+			"evacuated", dc,
+			"its endpoints get nothing more; the others carry its "
+			"load",
+			help};
+		int64_t age_ms =
+			now_us / 1000 - (int64_t)cli_int(row, "since_ms");
+
+		cli_set_since(
+			add(out, &line,
+			    "data centre %s is evacuated by order of "
+			    "%s, %lld requests still run there",
+			    dc, cli_str(row, "operator"),
+			    (long long)MAX(
+				    running_in(v, dc),
+				    (int64_t)cli_int(row, "open_requests"))),
+			MAX(age_ms, 0), now_us);
+	}
+}
+
 static void add_leaving(json_t *out, const struct cli_view *v, int64_t now_us)
 {
 	json_t *e;
@@ -435,6 +491,7 @@
 	add_voters(out, v);
 	add_cuts(out, v);
 	add_hosts(out, v, now_us);
+	add_evacuations(out, v, now_us);
 	add_leaving(out, v, now_us);
 	add_queues(out, v);
 	add_versions(out, v);
--- a/src/cli/cli_fleet.c
+++ b/src/cli/cli_fleet.c
@@ -201,6 +201,18 @@
 	return CLI_OK;
 }
 
+int cli_evacuate(struct cli *c)
+{
+	g_autofree char *text = g_strdup_printf(
+		c->end ? "%s is no longer evacuated"
+		       : "%s is evacuated: its endpoints get nothing more",
+		c->words[0]);
+
+	return act(c, "/admin/evacuate",
+		   json_pack("{s:s, s:b}", "dc", c->words[0], "end", c->end),
+		   text);
+}
+
 int cli_host_remove(struct cli *c)
 {
 	g_autofree char *text =
--- a/src/cli/cli_hint.c
+++ b/src/cli/cli_hint.c
@@ -44,6 +44,8 @@
 	 "shows the last one"},
 	{"host remove", "not_found", "mustardwall status lists the hosts"},
 	{"drain", "not_found", "mustardwall status lists the hosts"},
+	{"evacuate", "not_found",
+	 "mustardwall endpoints lists the data centres"},
 	{"order", "not_found", "mustardwall endpoints lists the endpoints"},
 	{"tree diff", "not_found",
 	 "a control process keeps at most the last 64 versions since its "
--- a/src/cli/cli_http.c
+++ b/src/cli/cli_http.c
@@ -200,10 +200,14 @@
 	return status;
 }
 
-/* Changes and orders carry an id under which they count once. */
-static bool has_id(const json_t *body)
+/*
+ * Whether the request may be sent again: changes and orders carry an id under
+ * which they count once, and an evacuation that is in force stays so.
+ */
+static bool may_resend(const json_t *body)
 {
-	return json_is_string(json_object_get(body, "id")) ||
+	return json_is_string(json_object_get(body, "dc")) ||
+	       json_is_string(json_object_get(body, "id")) ||
 	       json_is_string(json_object_get(body, "order_id"));
 }
 
@@ -215,14 +219,14 @@
 
 	/*
 	 * What was surely not received goes to the next address, and so does
-	 * what has an id, as it counts once: the process may be frozen.
+	 * what may be sent again: the process may be frozen.
 	 */
 	for (char **a = c->addrs; *a; a++) {
 		size_t before = buf_unread(&c->err);
 		status = cli_ask_at(c, *a, path, json_incref(body), json);
 		if (status == CLI_UNREACHABLE && !unknown)
 			continue;
-		if (status == CLI_UNKNOWN && has_id(body)) {
+		if (status == CLI_UNKNOWN && may_resend(body)) {
 			unknown = true;
 			continue;
 		}
--- a/src/control/ctl_evacuate.c
+++ b/src/control/ctl_evacuate.c
@@ -439,17 +439,19 @@
 void ctl_evacuate_post(struct ctl *c, const Mw__AdminCall *msg,
 		       admin_reply_fn fn, void *arg)
 {
-	g_auto(GStrv) part = g_strsplit(msg->query, " ", 2);
+	AUTO_JSON json_t *obj = json_loadb((const char *)msg->body.data,
+					   msg->body.len, 0, NULL);
+	const char *dc = json_string_value(json_object_get(obj, "dc"));
+	json_t *end = json_object_get(obj, "end");
 	struct evacuation_call *call, *other;
 	size_t waiting = 0;
 	int err = 0;
 
 	list_for_each_entry (other, &c->evacuation_calls, node)
 		waiting++;
-	if (g_strv_length(part) != 2 ||
-	    (strcmp(part[1], "begin") != 0 && strcmp(part[1], "end") != 0))
+	if (!dc || (end && !json_is_boolean(end)))
 		err = -MW_EINVAL;
-	else if (!schema_name_ok(part[0], strlen(part[0])))
+	else if (!schema_name_ok(dc, strlen(dc)))
 		err = -MW_ENOTFOUND;
 	else if (waiting >= CALLS_MAX)
 		err = -MW_EQUEUEFULL;
@@ -462,10 +464,10 @@
 	}
 	call = g_new0(struct evacuation_call, 1);
 	call->ctl = c;
-	g_strlcpy(call->dc, part[0], sizeof(call->dc));
+	g_strlcpy(call->dc, dc, sizeof(call->dc));
 	g_strlcpy(call->operator_name, msg->operator_name,
 		  sizeof(call->operator_name));
-	call->begins = !strcmp(part[1], "begin");
+	call->begins = !json_is_true(end);
 	call->arrived_us = clock_mono_us();
 	call->fn = fn;
 	call->arg = arg;
--- a/src/control/ctl_evacuate.h
+++ b/src/control/ctl_evacuate.h
@@ -16,10 +16,11 @@
  */
 
 /*
- * Call of the operators' interface; see admin_ops.forward.  The query is
- * "DC begin" or "DC end".  The answer has status 200 if the order is committed
- * or changes nothing, 404 for an unknown data centre, and 503 or 504 otherwise;
- * the member not_run of the error tells whether it had certainly no effect.
+ * Call of the operators' interface; see admin_ops.forward.  The body is
+ * {"dc":DC,"end":B}; `end` withdraws the order.  The answer has status 200 if
+ * the order is committed or changes nothing, 404 for an unknown data centre,
+ * and 503 or 504 otherwise; the member not_run of the error tells whether it
+ * had certainly no effect.
  */
 void ctl_evacuate_post(struct ctl *c, const Mw__AdminCall *call,
 		       admin_reply_fn fn, void *arg);
--- a/src/control/ctl_status.c
+++ b/src/control/ctl_status.c
@@ -4,6 +4,7 @@
 #include <sys/statvfs.h>
 
 #include "base/clock.h"
+#include "control/ctl_evacuate.h"
 
 #define TICK_INTERVAL_US USEC_PER_SEC
 
@@ -260,6 +261,7 @@
 			    json_integer(version_age_ms(c)));
 	json_object_set_new(out, "voters", voters_json(c, now));
 	json_object_set_new(out, "left_out", left_out_json(c));
+	json_object_set_new(out, "evacuations", ctl_evacuate_status(c));
 	if (statvfs(c->conf->data, &fs) == 0) {
 		json_object_set_new(out, "disk_free_bytes",
 				    json_integer((json_int_t)fs.f_bavail *
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -196,9 +196,11 @@
 
 static bool exclude_endpoint(void *ctx, const char *endpoint)
 {
+	const struct entry *e = ctx;
 	const struct endpoint *ep = view_find(ctx, endpoint);
 
-	return ep && !view_may_use(ep);
+	return ep && (!view_may_use(ep) ||
+		      tree_dc_settings(e->session.cfg.tree, ep->dc)->evacuated);
 }
 
 static int choose_endpoint(struct call *c, int64_t now)
