--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -125,7 +125,8 @@
 static bool may_send(struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
 {
-	return request_is_permitted(r, ep) && is_usable(r->fwd, ep, now);
+	return now >= r->fwd->hold_until_us && request_is_permitted(r, ep) &&
+	       is_usable(r->fwd, ep, now);
 }
 
 bool request_may_use_endpoint(struct request *r, const struct fwd_endpoint *ep,
