--- /dev/null
+++ b/tests/crowd_lib.sh
@@ -0,0 +1,42 @@
+# Functions for runs with many clients that do not end what they begin; source it
+# after tests/scripts/lib.sh.  The checks do not depend on the machine's speed.
+
+# Of every process: the memory and the descriptors of the smallest machine.
+MEMORY_MB=88
+FDS_MAX=1300
+# A build with sanitizers keeps freed memory, and shadows all of it.
+case $B in
+*asan*) MEMORY_KB=400000 ;;
+*) MEMORY_KB=$((MEMORY_MB * 1024)) ;;
+esac
+CROWD_S=60
+
+# crowd TARGET KIND CONNECTIONS BYTES METHOD PATH [HEADER...]: starts the clients,
+# and waits until they have sent what is taken of them.
+crowd() {
+	crowd_target=$1 crowd_kind=$2 crowd_n=$3 crowd_bytes=$4
+	shift 4
+	: >"$DIR/crowd.log"
+	spawn crowd "$B/platform/crowd" "$crowd_target" "127.0.$NET.101" 10 \
+		"$crowd_kind" "$crowd_n" "$crowd_bytes" $CROWD_S "$@"
+	wait_for 40 grep -q settled "$DIR/crowd.log"
+}
+
+# check NAME COMMAND...: the process lives, within its bounds, and COMMAND
+# succeeds while the clients are connected.  Prints figures that exceed a bound;
+# all of them go to standard error.
+check() {
+	name=$1
+	shift
+	p=$(pid "$name")
+	if ! kill -0 "$p" 2>/dev/null; then
+		echo "$name has ended"
+		return
+	fi
+	wait_for 20 "$@" && echo "an ordinary request is answered"
+	peak=$(awk '/^VmHWM/ { print $2 }' "/proc/$p/status")
+	fds=$(ls "/proc/$p/fd" | wc -l)
+	echo "$name: peak $peak KB, $fds descriptors" >&2
+	[ "$peak" -lt "$MEMORY_KB" ] || echo "$name: peak memory of $peak KB"
+	[ "$fds" -lt "$FDS_MAX" ] || echo "$name: $fds descriptors"
+}
