net: One memory budget for connections, requests and answers

Bodies of callers were buffered without a common limit: 120 connections with 4 MB less 1 KB each took an entry host to 509 MB, 1,000 to 4.1 GB. Connections that do not arrive are closed in the order of membudget.h; a whole request without room is refused with 503 before it is passed on.

--max-fds (limits.max_fds) and the memory bound the connections of a listener; above four fifths of them, those without progress are closed, so that others get in. A listener's announced bodies that do not come for 3 s give their room back. With a stated limit, glibc maps large blocks one by one; from the heap, 1,000 clients took 138 MB of a budget of 55.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -250,6 +250,11 @@
 			    CONF_TOLERATE_MAX);
 	if (c->repeat_percent < 0 || c->repeat_percent > 100)
 		return fail(error, "--repeat-percent must be from 0 to 100");
+	if (c->memory_limit_mb < 0 || c->memory_limit_mb > 1 << 20)
+		return fail(error,
+			    "--memory-limit-mb must be from 0 to 1048576");
+	if (c->max_fds < 0)
+		return fail(error, "--max-fds must be at least 0");
 	if (c->repeat_spare < 0 || c->repeat_spare > 1000000)
 		return fail(error, "--repeat-spare must be from 0 to 1000000");
 	if (c->log_level < 3 || c->log_level > 7)
--- a/src/conf/flags.gen.h
+++ b/src/conf/flags.gen.h
@@ -25,6 +25,8 @@
 FLAG_INT(max_requests, "max-requests", 20000, "N", "open requests at most")
 FLAG_INT(max_body, "max-body", 1048576, "BYTES", "size of a request body at most")
 FLAG_INT(stream_buffer, "stream-buffer", 65536, "BYTES", "bytes buffered for a slow reader before its stream is paused")
+FLAG_INT(memory_limit_mb, "memory-limit-mb", 0, "MB", "memory of this process's machine, of which callers may take five eighths; 0: none stated, then they may take 640 MB")
+FLAG_INT(max_fds, "max-fds", 0, "N", "file descriptors of this process at most; 200 of them are kept from callers' connections; 0: no limit")
 FLAG_INT(log_level, "log-level", 6, "LEVEL", "least severe syslog level that is written (3 to 7)")
 FLAG_INT(seed, "seed", 0, "N", "seed for random numbers, 0: from the system")
 FLAG_STRING(policy, "policy", "mustardwall", "NAME", "decision set: mustardwall, round-robin or least-outstanding (baselines for measurements)")
--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -24,6 +24,7 @@
 #define EVENTS_KEPT 20000
 /* Memory of a connection of operators and endpoints. */
 #define IFACE_CONN_MEMORY_BYTES (40 << 10)
+#define IFACE_CONNS_MAX 4096
 #define TIMELINE_MAX_BYTES (64 << 20)
 /* Of all documents that are being received; 16 of 2,500 routes are 10 MB. */
 #define IFACE_BODIES_BYTES (12u << 20)
@@ -622,8 +623,13 @@
 static int start_iface_httpd(struct ctl *c)
 {
 	const struct conf_addr *a = &c->conf->listen_addr;
+	int conns = membudget_conns(IFACE_CONNS_MAX, c->conf->memory_limit_mb,
+				    IFACE_CONN_MEMORY_BYTES, c->conf->max_fds);
 	struct httpd_config cfg = {.max_body = c->iface->max_document_bytes,
 				   .max_bodies = IFACE_BODIES_BYTES,
+				   .max_conns = conns,
+				   .max_kept = conns / 5 * 4,
+				   .budget = &c->memory,
 				   .conn_memory = IFACE_CONN_MEMORY_BYTES};
 
 	return httpd_new(c->loop, a->ip, a->port, &cfg,
@@ -650,6 +656,7 @@
 	ctl_log_fail_pending(c);
 	c->boot_incarnations = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, NULL);
+	membudget_init(&c->memory, conf->memory_limit_mb);
 	c->fetcher = fetcher_new(loop, 0);
 	if (g_mkdir_with_parents(conf->data, 0700) < 0) {
 		log_error("disk", "cannot create %s", conf->data);
@@ -712,6 +719,7 @@
 		tree_unref(c->versions[i]);
 	ctl_log_close(c);
 	fetcher_free(c->fetcher);
+	membudget_release(&c->memory);
 	ctl_poll_free(c->poll);
 	g_hash_table_destroy(c->pending_proposals);
 	g_hash_table_destroy(c->boot_incarnations);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -83,6 +83,7 @@
 	struct httpd *admin;
 	struct admin admin_api;
 	struct fetcher *fetcher;
+	struct membudget memory; /* what clients make this process hold */
 	struct event_ring *events;
 
 	struct disk *disk;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,6 +15,9 @@
 #include "entry/entry.h"
 #include "forward/fwd.h"
 
+/* Blocks of this size are mapped one by one. */
+#define MAPPED_MIN_BYTES (64 << 10)
+
 static int run_entry(struct conf *conf, struct ev_loop *loop)
 {
 	struct entry *e;
@@ -68,6 +72,24 @@
 	return run_entry(conf, loop);
 }
 
+/*
+ * Large bodies are mapped one by one, so that the system gets their memory
+ * back. By default glibc takes blocks of up to 32 MB from the heap once one was
+ * freed, where 1,000 clients with bodies of 4 MB left holes of twice the memory
+ * in use.
+ */
+static void return_memory(const struct conf *conf)
+{
+#ifdef __GLIBC__
+	if (conf->memory_limit_mb > 0) {
+		mallopt(M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+		mallopt(M_TRIM_THRESHOLD, MAPPED_MIN_BYTES * 4);
+	}
+#else
+	(void)conf;
+#endif
+}
+
 int daemon_main(int argc, char **argv, const struct iface *iface)
 {
 	struct conf conf;
@@ -89,6 +111,7 @@
 	log_setup(conf.is_control ? "mustardwalld[control]"
 				  : "mustardwalld[entry]",
 		  (enum log_level)conf.log_level);
+	return_memory(&conf);
 	signal(SIGPIPE, SIG_IGN);
 	r = run(&conf, iface);
 	if (r < 0)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,6 +26,8 @@
 #define SUSPECTS_MAX 4096
 #define ACCOUNTS_MAX 8192
 #define MAX_CONNECTIONS 32768
+/* Default of struct httpd_config. */
+#define CONN_MEMORY_BYTES (16 << 10)
 #define TIMELINE_MAX_BYTES (64 << 20)
 
 void entry_event(struct entry *e, enum event_kind kind, const char *request,
@@ -277,13 +279,18 @@
 static int start_http(struct entry *e)
 {
 	const struct conf *c = e->conf;
+	int conns = membudget_conns(MAX_CONNECTIONS, c->memory_limit_mb,
+				    CONN_MEMORY_BYTES, c->max_fds);
 	struct httpd_config callers = {
 		.max_body = (size_t)c->max_body,
 		.max_stream = (size_t)c->stream_buffer,
 		.max_requests = c->max_requests,
-		.max_conns = MAX_CONNECTIONS,
+		.max_conns = conns,
+		.max_kept = conns / 5 * 4,
+		.budget = &e->memory,
 	};
-	struct httpd_config admin = {.max_body = 1 << 20, .max_requests = 256};
+	struct httpd_config admin = {
+		.max_body = 1 << 20, .max_requests = 256, .budget = &e->memory};
 	int r = httpd_new(e->loop, c->listen_addr.ip, c->listen_addr.port,
 			  &callers, api_handle, e, &e->callers);
 
@@ -381,7 +388,9 @@
 	choose_policy(e);
 	view_init(e);
 	remote_init(e);
+	membudget_init(&e->memory, conf->memory_limit_mb);
 	e->fetcher = fetcher_new(loop, 0);
+	fetcher_set_budget(e->fetcher, &e->memory);
 	start_timers(e);
 	if ((r = open_events(e)) < 0 || (r = start_peers(e)) < 0 ||
 	    (r = session_start(e)) < 0 || (r = start_http(e)) < 0)
@@ -411,6 +420,7 @@
 	session_stop(e);
 	marks_release(e);
 	fetcher_free(e->fetcher);
+	membudget_release(&e->memory);
 	buf_release(&e->chunk);
 	g_hash_table_destroy(e->pools);
 	g_hash_table_destroy(e->account_backlogs);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -93,6 +93,7 @@
 	struct hlc hlc;
 	struct peer_net *peers;
 	struct fetcher *fetcher;
+	struct membudget memory; /* what callers make this process hold */
 	struct httpd *callers;
 	struct httpd *admin;
 	struct admin admin_api;
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -28,12 +28,11 @@
 #define HEADER_MAX_BYTES (32 << 10)
 
 /*
- * Connections of callers, each of which may hold iface.conn_memory_bytes. While
- * there are more than CONNS_KEPT, they are closed after each answer, so that
- * others get in.
+ * Connections of callers, each of which may hold iface.conn_memory_bytes; fewer
+ * if the limits of the machine say so.  While there are more than four fifths
+ * of them, they are closed after each answer, so that others get in.
  */
 #define CONNS_MAX 1250
-#define CONNS_KEPT 1000
 
 /* Connections for readiness and for metrics, each. */
 #define PROBE_CONNS_MAX 64
@@ -67,6 +66,12 @@
 	}
 	counter_set(C_OPEN_REQUESTS, NULL, (int64_t)f->n_requests);
 	counter_set(C_TREE_VERSION, NULL, (int64_t)f->tree_version);
+	counter_set(C_MEMORY_USED, "arriving",
+		    (int64_t)f->memory.by_kind[MEMBUDGET_ARRIVING]);
+	counter_set(C_MEMORY_USED, "answer",
+		    (int64_t)f->memory.by_kind[MEMBUDGET_ANSWER]);
+	counter_set(C_MEMORY_USED, "held",
+		    (int64_t)f->memory.by_kind[MEMBUDGET_HELD]);
 	counter_set(C_LOG_DROPPED, NULL, (int64_t)slog_dropped());
 	counter_write(&b);
 	httpd_reply(http, 200, h, buf_head(&b), buf_unread(&b));
@@ -179,10 +184,14 @@
 {
 	const struct conf_addr *a = &f->conf->listen_addr;
 	const struct conf_addr *ready = &f->conf->ready_addr;
+	int conns =
+		membudget_conns(CONNS_MAX, f->conf->memory_limit_mb,
+				f->iface->conn_memory_bytes, f->conf->max_fds);
 	struct httpd_config cfg = {.max_body = BODY_MAX_BYTES,
 				   .max_header = HEADER_MAX_BYTES,
-				   .max_conns = CONNS_MAX,
-				   .max_kept = CONNS_KEPT,
+				   .max_conns = conns,
+				   .max_kept = conns / 5 * 4,
+				   .budget = &f->memory,
 				   .idle_timeout_s = IDLE_TIMEOUT_S,
 				   .conn_memory = f->iface->conn_memory_bytes};
 	struct httpd_config probe_cfg = {.max_conns = PROBE_CONNS_MAX};
@@ -225,7 +234,9 @@
 	list_init(&f->source_stops);
 	f->est = est_new(NULL);
 	f->est_call_ms = est_new(NULL);
+	membudget_init(&f->memory, conf->memory_limit_mb);
 	f->fetcher = fetcher_new(loop, IDLE_CONNS_MAX);
+	fetcher_set_budget(f->fetcher, &f->memory);
 	endpoints_start(f);
 	crashes_start(f);
 	plan_parse_init(f);
@@ -267,6 +278,7 @@
 	control_link_stop(f);
 	crashes_stop(f);
 	fetcher_free(f->fetcher);
+	membudget_release(&f->memory);
 	source_stop_release(f);
 	plan_parse_stop(f);
 	endpoints_stop(f);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -94,6 +94,7 @@
 
 /* A newer plan that is being parsed; reader is NULL if there is none. */
 struct plan_parse {
+	struct membudget_holder memory;
 	struct plan_reader *reader;
 	uint64_t tree_version; /* that the text came with */
 	size_t step_bytes;     /* parsed in one step */
@@ -120,6 +121,7 @@
 	GRand *rand;
 	struct peer_net *peers;	 /* connections to control processes */
 	struct fetcher *fetcher; /* HTTP client for endpoints */
+	struct membudget memory; /* what callers make this process hold */
 	struct httpd *caller_httpd;
 	struct httpd *ready_httpd; /* readiness for the balancer */
 	struct httpd *admin_httpd; /* metrics */
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -71,6 +71,8 @@
 	GHashTable *by_host; /* host to GPtrArray of struct plan_route */
 	int64_t idle_us;     /* for which a caller's connection may be idle, 0:
 				not stated */
+	int64_t header_us;   /* in which a request's headers arrive, 0: not
+				stated */
 };
 
 /* Returns an empty plan with one reference. */
--- a/src/forward/plan_parse.c
+++ b/src/forward/plan_parse.c
@@ -15,6 +15,10 @@
 #define STEP_MIN_BYTES 4096 /* about ten routes, 0.1 ms */
 #define STEP_INTERVAL_S 0.01
 
+/* A document's text, the element that is parsed and the plan made of it, in
+ * terms of its length. */
+#define DOCUMENT_FACTOR 3
+
 /* Puts the plan in force unless an equal or newer one is; takes ownership. */
 static void activate_plan(struct fwd *f, struct plan *plan, int64_t now)
 {
@@ -25,6 +29,7 @@
 	plan_unref(f->plan);
 	f->plan = plan;
 	httpd_set_idle(f->caller_httpd, plan->idle_us);
+	httpd_set_header_time(f->caller_httpd, plan->header_us);
 	request_place_waiting(f, now);
 }
 
@@ -78,6 +83,8 @@
 	struct plan_parse *parse = &f->parse;
 
 	plan_parse_stop(f);
+	membudget_add(&f->memory, &parse->memory, MEMBUDGET_HELD, 0, now);
+	membudget_set(&parse->memory, len * DOCUMENT_FACTOR, now);
 	parse->reader = f->iface->plan_reader_new(text, len);
 	parse->tree_version = tree_version;
 	parse->step_bytes = MAX(len / PARSE_STEPS, STEP_MIN_BYTES);
@@ -94,4 +101,5 @@
 	ev_timer_stop(f->loop, &f->parse.timer);
 	f->iface->plan_reader_free(f->parse.reader);
 	f->parse.reader = NULL;
+	membudget_remove(&f->parse.memory);
 }
--- a/src/net/fetch.c
+++ b/src/net/fetch.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <curl/curl.h>
 
+#include "base/clock.h"
 #include "base/list.h"
 #include "net/bytes_read.h"
 
@@ -56,6 +57,7 @@
 
 struct fetcher {
 	struct ev_loop *loop;
+	struct membudget_holder mem; /* of body_bytes */
 	CURLM *multi;
 	ev_timer timer;		/* libcurl's next timeout */
 	ev_timer pending_timer; /* runs apply_pending() when the loop polls */
@@ -129,6 +131,7 @@
 	f->head_bytes = 0;
 	fr->body_bytes -= f->collected_bytes;
 	f->collected_bytes = 0;
+	membudget_set(&fr->mem, fr->body_bytes, clock_mono_us());
 	list_del(&f->pending_link);
 	list_del(&f->link);
 	list_add(&fr->free_transfers, &f->link);
@@ -398,7 +401,8 @@
 		f->fault = "body too large";
 		return false;
 	}
-	if (f->fr->body_bytes <= BODIES_MAX_BYTES)
+	if (f->fr->body_bytes <= BODIES_MAX_BYTES &&
+	    membudget_set(&f->fr->mem, f->fr->body_bytes, clock_mono_us()))
 		return true;
 	list_for_each_entry (other, &f->fr->transfers, link)
 		if (other->collected_bytes > largest->collected_bytes &&
@@ -435,6 +439,11 @@
 	return n;
 }
 
+void fetcher_set_budget(struct fetcher *fr, struct membudget *b)
+{
+	membudget_add(b, &fr->mem, MEMBUDGET_HELD, 0, clock_mono_us());
+}
+
 struct fetcher *fetcher_new(struct ev_loop *loop, int max_idle)
 {
 	struct fetcher *fr = g_new0(struct fetcher, 1);
@@ -467,6 +476,7 @@
 	assert(!fr->curl_depth);
 	list_for_each_safe (pos, tmp, &fr->transfers)
 		fetch_end(list_entry(pos, struct fetch, link));
+	membudget_remove(&fr->mem);
 	list_for_each_safe (pos, tmp, &fr->free_transfers)
 		g_free(list_entry(pos, struct fetch, link));
 	while (fr->n_spare)
--- a/src/net/fetch.h
+++ b/src/net/fetch.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <ev.h>
 
+#include "policy/membudget.h"
+
 /*
  * HTTP/1.1 client on a libev loop, by libcurl's multi interface.  Connections
  * are kept alive and reused, TCP_NODELAY is set, redirects are not followed and
@@ -73,6 +75,9 @@
 /* max_idle: maximum idle connections kept; 0: libcurl's default. */
 struct fetcher *fetcher_new(struct ev_loop *loop, int max_idle);
 
+/* Bodies that owners collect draw on the budget from now on. */
+void fetcher_set_budget(struct fetcher *fr, struct membudget *b);
+
 /* Cancels all transfers and frees fr; not inside a callback. */
 void fetcher_free(struct fetcher *fr);
 
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -20,6 +20,8 @@
 #include "base/err.h"
 #include "base/list.h"
 #include "base/log.h"
+#include "net/bytes_read.h"
+#include "obs/counter.h"
 
 /*
  * A request without a reply yet, or without further bytes of its stream, is
@@ -53,6 +55,18 @@
 /* Interval of closing the connections that were idle for too long. */
 #define IDLE_CHECK_S 0.25
 #define IDLE_MAX_US (3600 * (int64_t)USEC_PER_SEC)
+/* Of a connection without a request, and of its socket. */
+#define CONN_BYTES 4096
+/* Of a request in work, besides its body: buffers of the transfer to an
+ * endpoint. */
+#define REQUEST_BYTES (24 * 1024)
+/* libmicrohttpd and libcurl each have a copy of a header line. */
+#define HEADER_COPIES 2
+/* Time without progress after which an announced body no longer keeps room in
+ * max_bodies from another. */
+#define ANNOUNCED_STALL_US (3 * (int64_t)USEC_PER_SEC)
+/* Least time between two log lines about closed connections. */
+#define SHED_LOG_INTERVAL_US (5 * (int64_t)USEC_PER_SEC)
 /* libmicrohttpd uses this buffer only for HTTP/1.0 clients. */
 #define STREAM_BLOCK_BYTES 1024
 
@@ -81,10 +95,21 @@
 	int64_t idle_us;	  /* of httpd_set_idle() */
 	int64_t next_idle_us;	  /* shorter, from next_idle_at_us on */
 	int64_t next_idle_at_us;  /* 0: none */
+	int64_t header_us;	  /* of httpd_set_header_time() */
+	bool shed_due;		  /* a request with `shed` is still owned */
+	unsigned int shed_logged; /* connections, in the log */
+	unsigned int shed;	  /* connections closed for others */
+	int64_t shed_log_us;	  /* of the last line */
 };
 
 struct tcp_conn {
 	struct list link;
+	struct httpd *h;
+	struct membudget_holder mem;
+	uint32_t peer;	       /* address */
+	size_t buffer_bytes;   /* the most that its buffer has held */
+	uint64_t read_bytes;   /* when the last request ended */
+	int64_t head_since_us; /* when headers began to arrive; 0: none */
 	int fd;
 	int open_requests; /* requests on it that are not completed */
 	bool closed;	   /* by httpd_close_idle() */
@@ -119,6 +144,8 @@
 	int status;
 	int fd;
 	struct tcp_conn *tcp;
+	struct membudget_holder mem;
+	size_t reply_bytes; /* of a complete answer */
 	ev_io close_watch;
 	enum req_state state;
 	enum httpd_closer closer; /* in REQ_CLOSED */
@@ -127,6 +154,7 @@
 	unsigned body_too_large : 1; /* the body exceeds max_body */
 	unsigned body_refused : 1;   /* the bodies exceed max_bodies */
 	unsigned drain_pending : 1;  /* `drained` is to be called */
+	unsigned shed : 1;	     /* its connection is closed for others */
 };
 
 static void schedule_run(struct httpd *h)
@@ -154,6 +182,87 @@
 	return req->state == REQ_OWNED || req->state == REQ_STREAM;
 }
 
+/* Counts a connection that is closed, and logs such ones now and then. */
+static void record_shed(struct httpd *h, const char *cause)
+{
+	int64_t now = clock_mono_us();
+
+	counter_add(C_CONNS_SHED, cause, 1);
+	h->shed++;
+	if (h->shed_log_us && now - h->shed_log_us < SHED_LOG_INTERVAL_US)
+		return;
+	log_warn("httpd",
+		 "port %d: closed %u connections since the last line, now for "
+		 "%s; %zu of %zu KiB in use, %d connections",
+		 h->port, h->shed - h->shed_logged, cause,
+		 h->cfg.budget ? h->cfg.budget->used / 1024 : 0,
+		 h->cfg.budget ? h->cfg.budget->capacity / 1024 : 0,
+		 h->n_conns);
+	h->shed_logged = h->shed;
+	h->shed_log_us = now;
+}
+
+/* The request's owner is told later, outside of the functions of this module.
+ */
+static void req_close(struct httpd_req *req, const char *cause)
+{
+	if (req->shed)
+		return;
+	req->shed = 1;
+	if (req->tcp) {
+		req->tcp->closed = true;
+		membudget_remove(&req->tcp->mem);
+	}
+	shutdown(req->fd, SHUT_RDWR);
+	if (req->state == REQ_READING)
+		buf_release(&req->body);
+	req->h->shed_due = true;
+	schedule_run(req->h);
+	record_shed(req->h, cause);
+}
+
+static void on_req_shed(void *arg)
+{
+	struct httpd_req *req = arg;
+
+	req_close(req, req->state == REQ_READING ? "request_memory"
+						 : "answer_memory");
+}
+
+static void conn_close(struct tcp_conn *tcp, const char *cause)
+{
+	if (tcp->closed)
+		return;
+	tcp->closed = true;
+	shutdown(tcp->fd, SHUT_RDWR);
+	schedule_run(tcp->h);
+	record_shed(tcp->h, cause);
+}
+
+static void on_conn_shed(void *arg)
+{
+	conn_close(arg, "connection_memory");
+}
+
+/* Sets what the request draws on the budget; false: it has to go. */
+static bool update_memory(struct httpd_req *req)
+{
+	bool in_work = req_is_owned(req);
+	size_t body = buf_unread(&req->body);
+
+	/* libcurl copies the body for each attempt. */
+	return membudget_set(&req->mem,
+			     (in_work ? 2 * body + REQUEST_BYTES : body) +
+				     buf_unread(&req->out) + req->reply_bytes,
+			     clock_mono_us());
+}
+
+static void set_memory_kind(struct httpd_req *req, enum membudget_kind kind)
+{
+	if (req->mem.kind != kind)
+		membudget_set_kind(&req->mem, kind, clock_mono_us());
+}
+
 /* Ends a request; calls `closed` if its answer was not complete. */
 static void req_mark_closed(struct httpd_req *req, enum httpd_closer closer)
 {
@@ -198,6 +307,23 @@
 					  (unsigned int)s);
 }
 
+/* Gives back the room of announced bodies that do not arrive. */
+static void close_stalled_bodies(struct httpd *h)
+{
+	int64_t now = clock_mono_us();
+	struct httpd_req *req;
+
+	list_for_each_entry (req, &h->reqs, link) {
+		if (req->state != REQ_READING || !req->counted ||
+		    !req->mem.budget ||
+		    now - req->mem.progress_us < ANNOUNCED_STALL_US)
+			continue;
+		req_close(req, "announced_body");
+		h->body_bytes -= req->counted;
+		req->counted = 0;
+	}
+}
+
 /*
  * Counts a body of n bytes in all.  Returns false if there is no room for it
  * beside those of the other requests.
@@ -208,6 +334,8 @@
 
 	if (!h->cfg.max_bodies || n <= h->cfg.conn_memory || n <= req->counted)
 		return true;
+	if (h->body_bytes - req->counted + n > h->cfg.max_bodies)
+		close_stalled_bodies(h);
 	if (h->body_bytes - req->counted + n > h->cfg.max_bodies)
 		return false;
 	h->body_bytes += n - req->counted;
@@ -220,6 +348,7 @@
 	buf_release(&req->body);
 	req->h->body_bytes -= req->counted;
 	req->counted = 0;
+	update_memory(req);
 }
 
 static void *on_uri(void *cls, const char *uri, struct MHD_Connection *conn)
@@ -242,9 +371,17 @@
 	req->tcp = MHD_get_connection_info(conn,
 					   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
 			   ->socket_context;
+	req->mem.shed = on_req_shed;
+	req->mem.arg = req;
+	if (h->cfg.budget)
+		membudget_add(h->cfg.budget, &req->mem, MEMBUDGET_ARRIVING,
+			      req->tcp ? req->tcp->peer : 0, clock_mono_us());
 	if (req->tcp) {
 		req->tcp->open_requests++;
 		req->tcp->used = true;
+		req->tcp->head_since_us = 0;
+		membudget_set_kind(&req->tcp->mem, MEMBUDGET_HELD,
+				   clock_mono_us());
 	}
 	return req;
 }
@@ -271,8 +408,13 @@
 	if (req->tcp) {
 		req->tcp->open_requests--;
 		req->tcp->idle_since_us = clock_mono_us();
+		if (req->h->cfg.budget)
+			net_bytes_read(req->fd, &req->tcp->read_bytes);
+		membudget_set_kind(&req->tcp->mem, MEMBUDGET_ARRIVING,
+				   req->tcp->idle_since_us);
 	}
 	list_del(&req->link);
+	membudget_remove(&req->mem);
 	if (req->response)
 		MHD_destroy_response(req->response);
 	httpd_drop_body(req);
@@ -383,6 +525,26 @@
 			       ->header_size > max;
 }
 
+/* Counts n bytes that the connection's buffer has held at once. */
+static void count_buffer(struct httpd_req *req, size_t n)
+{
+	struct tcp_conn *tcp = req->tcp;
+
+	if (!tcp || n <= tcp->buffer_bytes)
+		return;
+	tcp->buffer_bytes = n;
+	if (!membudget_set(&tcp->mem, CONN_BYTES + n, clock_mono_us()))
+		req_close(req, "connection_memory");
+}
+
+static void count_headers(struct httpd_req *req)
+{
+	size_t n = MHD_get_connection_info(
+			   req->conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+			   ->header_size;
+	count_buffer(req, n * HEADER_COPIES);
+}
+
 /* Handles the headers; refuses a request before its body if possible. */
 static enum MHD_Result req_start(struct httpd_req *req, const char *method,
 				 const char *path, const char *version)
@@ -390,6 +552,7 @@
 	const char *len = httpd_header(req, "Content-Length");
 
 	req->started = 1;
+	count_headers(req);
 	req->method = g_strdup(method);
 	req->path = g_strdup(path);
 	if (req->h->cfg.max_requests &&
@@ -409,6 +572,21 @@
 	return queue_response(req);
 }
 
+/* Passes a whole request to the handler, or refuses it for want of memory. */
+static void pass_on(struct httpd_req *req)
+{
+	struct httpd *h = req->h;
+
+	if (update_memory(req)) {
+		set_memory_kind(req, MEMBUDGET_HELD);
+		h->handler(h->ctx, req);
+		return;
+	}
+	counter_add(C_MEMORY_REFUSED, NULL, 1);
+	prepare_refusal(req, MW_EAGAIN);
+	httpd_drop_body(req);
+}
+
 static enum MHD_Result on_access(void *cls, struct MHD_Connection *conn,
 				 const char *path, const char *method,
 				 const char *version, const char *data,
@@ -418,7 +596,7 @@
 	struct httpd_req *req = *con_cls;
 
 	(void)conn;
-	if (!req || req->state == REQ_CLOSED ||
+	if (!req || req->state == REQ_CLOSED || req->shed ||
 	    (req->tcp && req->tcp->closed) ||
 	    (h->freeing && req->state == REQ_READING))
 		return MHD_NO;
@@ -433,8 +611,14 @@
 			httpd_drop_body(req);
 		else
 			buf_add(&req->body, data, *len);
+		membudget_progress(&req->mem, *len, clock_mono_us());
 		*len = 0;
-		return MHD_YES;
+		if (!update_memory(req))
+			on_req_shed(req);
+		/* libmicrohttpd reads bodies by way of the same buffer. */
+		count_buffer(req,
+			     MIN(buf_unread(&req->body), h->cfg.conn_memory));
+		return req->shed ? MHD_NO : MHD_YES;
 	}
 	if (req->state == REQ_READING) {
 		if (req->body_too_large) {
@@ -443,7 +627,7 @@
 			prepare_refusal(req, MW_EAGAIN);
 		} else {
 			req->state = REQ_OWNED;
-			h->handler(h->ctx, req);
+			pass_on(req);
 		}
 	}
 	if (req->state == REQ_CLOSED)
@@ -477,6 +661,10 @@
 		n = max;
 	memcpy(dst, buf_head(&req->out), n);
 	buf_consume(&req->out, n);
+	membudget_progress(&req->mem, n, clock_mono_us());
+	if (!buf_unread(&req->out))
+		set_memory_kind(req, MEMBUDGET_HELD);
+	update_memory(req);
 	if (req->drain_pending && req->state == REQ_STREAM &&
 	    buf_unread(&req->out) <= req->h->cfg.max_stream / 4) {
 		req->drain_pending = 0;
@@ -486,6 +674,25 @@
 	return (ssize_t)n;
 }
 
+static void add_conn_memory(struct tcp_conn *tcp, struct MHD_Connection *conn)
+{
+	const struct sockaddr_in *sa =
+		(const void *)MHD_get_connection_info(
+			conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+			->client_addr;
+
+	if (!tcp->h->cfg.budget)
+		return;
+	if (sa && sa->sin_family == AF_INET)
+		tcp->peer = sa->sin_addr.s_addr;
+	tcp->mem.shed = on_conn_shed;
+	tcp->mem.arg = tcp;
+	membudget_add(tcp->h->cfg.budget, &tcp->mem, MEMBUDGET_ARRIVING,
+		      tcp->peer, tcp->opened_us);
+	if (!membudget_set(&tcp->mem, CONN_BYTES, tcp->opened_us))
+		on_conn_shed(tcp);
+}
+
 static void on_connection(void *cls, struct MHD_Connection *conn,
 			  void **socket_context,
 			  enum MHD_ConnectionNotificationCode code)
@@ -497,7 +704,11 @@
 		struct tcp_conn *tcp = *socket_context;
 		if (tcp) {
 			list_del(&tcp->link);
-			h->n_conns--;
+			membudget_remove(&tcp->mem);
+			/* At its limit, libmicrohttpd polls the listener again
+			 * only in the run after the one that closes. */
+			if (h->n_conns-- >= h->cfg.max_conns / 2)
+				schedule_run(h);
 			g_free(tcp);
 		}
 		*socket_context = NULL;
@@ -512,6 +723,8 @@
 	tcp->opened_us = tcp->idle_since_us = clock_mono_us();
 	list_add_tail(&h->conns, &tcp->link);
 	h->n_conns++;
+	tcp->h = h;
+	add_conn_memory(tcp, conn);
 	allow_idle_time(h, conn);
 	*socket_context = tcp;
 	if (h->cfg.sndbuf)
@@ -551,9 +764,94 @@
 	return true;
 }
 
+/* Counts headers that arrive, and closes connections on which they do not end.
+ * libmicrohttpd does not tell before they have. */
+static void check_headers(struct httpd *h, int64_t now)
+{
+	struct tcp_conn *tcp;
+	uint64_t n;
+
+	list_for_each_entry (tcp, &h->conns, link) {
+		if (tcp->closed || tcp->open_requests ||
+		    !net_bytes_read(tcp->fd, &n) || n <= tcp->read_bytes)
+			continue;
+		if (!tcp->head_since_us)
+			tcp->head_since_us = now;
+		if (h->header_us > 0 &&
+		    now - tcp->head_since_us >= h->header_us) {
+			conn_close(tcp, "header_time");
+			continue;
+		}
+		tcp->buffer_bytes = MAX(
+			tcp->buffer_bytes,
+			MIN(n - tcp->read_bytes, (uint64_t)h->cfg.conn_memory));
+		if (!membudget_set(&tcp->mem, CONN_BYTES + tcp->buffer_bytes,
+				   now))
+			on_conn_shed(tcp);
+	}
+}
+
+/* Whether no request is open or arrives on a connection, for so long that it
+ * may be closed for others. */
+static bool is_surplus(const struct tcp_conn *tcp, int64_t now)
+{
+	int64_t min = tcp->used ? MEMBUDGET_STALL_US : FIRST_REQUEST_US;
+
+	return !tcp->closed && !tcp->open_requests &&
+	       now - tcp->idle_since_us >= min && !has_unread_bytes(tcp->fd);
+}
+
+/* Closes connections on which a first request has come (used), or has not,
+ * until n are left; those of addresses with much memory first. */
+static int close_conns(struct httpd *h, bool used, int n_conns, int n,
+		       int64_t now)
+{
+	struct tcp_conn *tcp;
+
+	for (int round = 0; round < 2 && n_conns > n; round++) {
+		size_t least = round ? 0 : h->cfg.budget->used / 8;
+
+		list_for_each_entry (tcp, &h->conns, link) {
+			if (n_conns <= n)
+				break;
+			if (tcp->used != used || !is_surplus(tcp, now) ||
+			    membudget_peer_bytes(h->cfg.budget, tcp->peer) <
+				    least)
+				continue;
+			conn_close(tcp, "connections");
+			n_conns--;
+		}
+	}
+	return n_conns;
+}
+
+/*
+ * Closes connections without progress, so that others get in: those on which no
+ * request has come, as many at once as a backlog of such connections needs,
+ * then requests that do not arrive, then connections between two requests.
+ */
+static void close_surplus(struct httpd *h, int64_t now)
+{
+	int n_conns =
+		close_conns(h, false, h->n_conns, h->cfg.max_kept / 2, now);
+	struct httpd_req *req;
+
+	list_for_each_entry (req, &h->reqs, link) {
+		if (n_conns <= h->cfg.max_kept)
+			return;
+		if (req->state != REQ_READING || req->shed ||
+		    !membudget_is_slow(&req->mem, now))
+			continue;
+		req_close(req, "connections");
+		n_conns--;
+	}
+	close_conns(h, true, n_conns, h->cfg.max_kept, now);
+}
+
 static void on_idle_timer(EV_P_ ev_timer *w, int revents)
 {
 	struct httpd *h = w->data;
+	struct httpd_req *req;
 	struct tcp_conn *tcp;
 	int64_t now = clock_mono_us();
 
@@ -563,9 +861,19 @@
 		h->idle_us = h->next_idle_us;
 		h->next_idle_at_us = 0;
 	}
-	list_for_each_entry (tcp, &h->conns, link)
-		if (now - tcp->idle_since_us >= h->idle_us)
-			close_if_idle(h, tcp);
+	if (h->idle_us > 0)
+		list_for_each_entry (tcp, &h->conns, link)
+			if (now - tcp->idle_since_us >= h->idle_us)
+				close_if_idle(h, tcp);
+	if (!h->cfg.budget)
+		return;
+	check_headers(h, now);
+	list_for_each_entry (req, &h->reqs, link)
+		if (req->state == REQ_READING &&
+		    membudget_is_expired(&req->mem, now))
+			req_close(req, "request_time");
+	if (h->cfg.max_kept && h->n_conns > h->cfg.max_kept)
+		close_surplus(h, now);
 }
 
 /* MHD_run() accepts only a few connections at a time. */
@@ -586,6 +894,22 @@
 	h->run_due = 1;
 }
 
+/* Tells the owners of requests whose connections were closed for others. */
+static void end_shed(struct httpd *h)
+{
+	struct list *pos, *tmp;
+
+	h->shed_due = false;
+	list_for_each_safe (pos, tmp, &h->reqs) {
+		struct httpd_req *req = list_entry(pos, struct httpd_req, link);
+		if (!req->shed || req->state == REQ_CLOSED)
+			continue;
+		if (req_is_owned(req))
+			req_mark_closed(req, HTTPD_SERVER);
+		req_resume(req);
+	}
+}
+
 static void on_prepare(EV_P_ ev_prepare *w, int revents)
 {
 	struct httpd *h = w->data;
@@ -595,6 +919,8 @@
 	if (!h->run_due)
 		return;
 	h->run_due = 0;
+	if (h->shed_due)
+		end_shed(h);
 	MHD_run(h->mhd);
 	if (h->quiescing)
 		stop_listening(h);
@@ -694,6 +1020,8 @@
 		h->prepare.data = h;
 	ev_io_start(loop, &h->epoll_watch);
 	ev_prepare_start(loop, &h->prepare);
+	if (h->cfg.budget)
+		ev_timer_again(loop, &h->idle_timer);
 	*out = h;
 	return 0;
 }
@@ -730,12 +1058,17 @@
 		return;
 	}
 	h->idle_us = idle_us;
-	if (h->idle_us > 0)
+	if (h->idle_us > 0 || h->cfg.budget)
 		ev_timer_again(h->loop, &h->idle_timer);
 	else
 		ev_timer_stop(h->loop, &h->idle_timer);
 }
 
+void httpd_set_header_time(struct httpd *h, int64_t us)
+{
+	h->header_us = us;
+}
+
 unsigned int httpd_idle_closed(const struct httpd *h)
 {
 	return h->idle_closed;
@@ -874,6 +1207,12 @@
 	set_headers(req->response, headers);
 	req->status = status;
 	req->state = REQ_REPLIED;
+	req->reply_bytes = len;
+	/* body may be a part of it, and was copied. */
+	httpd_drop_body(req);
+	set_memory_kind(req, MEMBUDGET_ANSWER);
+	if (!update_memory(req))
+		on_req_shed(req);
 	ev_io_stop(req->h->loop, &req->close_watch);
 	req_resume(req);
 }
@@ -897,7 +1236,11 @@
 		req->drain_pending = 1;
 		return -MW_EAGAIN;
 	}
+	if (!buf_unread(&req->out))
+		set_memory_kind(req, MEMBUDGET_ANSWER);
 	buf_add(&req->out, data, len);
+	if (!update_memory(req))
+		on_req_shed(req);
 	if (buf_unread(&req->out) > req->h->cfg.max_stream / 2)
 		req->drain_pending = 1;
 	req_resume(req);
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -7,6 +7,8 @@
 #include <sys/types.h>
 #include <ev.h>
 
+#include "policy/membudget.h"
+
 /*
  * HTTP/1.1 server on a libev loop, by libmicrohttpd without threads.
  *
@@ -51,6 +53,15 @@
 	 * 0: no limit.
 	 */
 	size_t max_bodies;
+	/*
+	 * On which connections, requests and answers draw; NULL: none.  If it
+	 * runs short, connections are closed in the order of membudget.h, and a
+	 * request that is whole is refused with 503 before it is passed on.
+	 * With a budget, while there are more than max_kept connections, those
+	 * that have been without progress for 1 s are closed, and a request
+	 * that trickles is ended after MEMBUDGET_TRICKLE_MAX_US.
+	 */
+	struct membudget *budget;
 };
 
 /* Who ended a connection before its answer was complete. */
@@ -100,6 +111,12 @@
  */
 void httpd_set_idle(struct httpd *h, int64_t idle_us);
 
+/*
+ * From now on, closes a connection, up to 0.25 s late, once a request's headers
+ * have been arriving for us; 0: no limit.  Needs httpd_config.budget.
+ */
+void httpd_set_header_time(struct httpd *h, int64_t us);
+
 /* Whether the server no longer listens and all connections have ended. */
 bool httpd_is_drained(const struct httpd *h);
 
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -85,6 +85,14 @@
 	"Connections to endpoints that broke off an attempt, by outcome.")
 GAUGE(LOG_DROPPED, "mustardwall_log_lines_dropped", "lines", NULL,
       "Lines of the structured log that were left out since the start.")
+COUNTER(CONNS_SHED, "mustardwall_connections_shed_total", "connections",
+	"cause",
+	"Connections of callers that were closed to keep within the memory, "
+	"the connections or the times that this process has for them.")
+COUNTER(MEMORY_REFUSED, "mustardwall_memory_refused_total", "requests", NULL,
+	"Whole requests that were refused, not run, for want of memory.")
+GAUGE(MEMORY_USED, "mustardwall_memory_used_bytes", "bytes", "kind",
+      "Memory that callers make this process hold, by kind.")
 GAUGE(OPEN_REQUESTS, "mustardwall_open_requests", "requests", NULL,
       "Requests and calls that are open.")
 GAUGE(HTTP_REQUESTS, "mustardwall_http_requests", "requests", NULL,
