forward: Take max_header_bytes and max_body_bytes from the document

Entry hosts took 32 KiB of headers and 4 MiB of a body whatever the published limits said. They now go by the document within these bounds; a request's body limit is the one in force when its headers were complete.

--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -73,6 +73,7 @@
 				not stated */
 	int64_t header_us;   /* in which a request's headers arrive, 0: not
 				stated */
+	size_t max_header, max_body; /* bytes of a request, 0: not stated */
 };
 
 /* Returns an empty plan with one reference. */
--- a/src/forward/plan_parse.c
+++ b/src/forward/plan_parse.c
@@ -15,6 +15,10 @@
 #define STEP_MIN_BYTES 4096 /* about ten routes, 0.1 ms */
 #define STEP_INTERVAL_S 0.01
 
+/* A document's limit is of the header lines, a listener's includes the request
+ * line. */
+#define REQUEST_LINE_BYTES 4096
+
 /* A document's text, the element that is parsed and the plan made of it, in
  * terms of its length. */
 #define DOCUMENT_FACTOR 3
@@ -30,6 +34,10 @@
 	f->plan = plan;
 	httpd_set_idle(f->caller_httpd, plan->idle_us);
 	httpd_set_header_time(f->caller_httpd, plan->header_us);
+	httpd_set_sizes(f->caller_httpd,
+			plan->max_header ? plan->max_header + REQUEST_LINE_BYTES
+					 : 0,
+			plan->max_body);
 	request_place_waiting(f, now);
 }
 
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -91,15 +91,16 @@
 	bool quiescing;	   /* accepts what waits, then stops listening */
 	bool freeing;	   /* no request is passed to the handler any more */
 	int accept_rounds; /* of quiescing */
-	unsigned int idle_closed; /* connections, since the start */
-	int64_t idle_us;	  /* of httpd_set_idle() */
-	int64_t next_idle_us;	  /* shorter, from next_idle_at_us on */
-	int64_t next_idle_at_us;  /* 0: none */
-	int64_t header_us;	  /* of httpd_set_header_time() */
-	bool shed_due;		  /* a request with `shed` is still owned */
-	unsigned int shed_logged; /* connections, in the log */
-	unsigned int shed;	  /* connections closed for others */
-	int64_t shed_log_us;	  /* of the last line */
+	unsigned int idle_closed;    /* connections, since the start */
+	int64_t idle_us;	     /* of httpd_set_idle() */
+	int64_t next_idle_us;	     /* shorter, from next_idle_at_us on */
+	int64_t next_idle_at_us;     /* 0: none */
+	int64_t header_us;	     /* of httpd_set_header_time() */
+	size_t max_header, max_body; /* of httpd_set_sizes() */
+	bool shed_due;		     /* a request with `shed` is still owned */
+	unsigned int shed_logged;    /* connections, in the log */
+	unsigned int shed;	     /* connections closed for others */
+	int64_t shed_log_us;	     /* of the last line */
 };
 
 struct tcp_conn {
@@ -147,6 +148,7 @@
 	struct tcp_conn *tcp;
 	struct membudget_holder mem;
 	size_t reply_bytes; /* of a complete answer */
+	size_t max_body;    /* in force when its headers were complete */
 	ev_io close_watch;
 	enum req_state state;
 	enum httpd_closer closer; /* in REQ_CLOSED */
@@ -518,7 +520,7 @@
 
 static bool headers_too_large(const struct httpd_req *req)
 {
-	size_t max = req->h->cfg.max_header;
+	size_t max = req->h->max_header;
 
 	return max &&
 	       MHD_get_connection_info(req->conn,
@@ -553,6 +555,7 @@
 	const char *len = httpd_header(req, "Content-Length");
 
 	req->started = 1;
+	req->max_body = req->h->max_body;
 	if (req->tcp) {
 		req->tcp->in_request = true;
 		req->tcp->head_since_us = 0;
@@ -570,7 +573,7 @@
 	else if (headers_too_large(req))
 		prepare_status(req, MW_ETOOBIG,
 			       MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE);
-	else if (len && strtoull(len, NULL, 10) > req->h->cfg.max_body)
+	else if (len && strtoull(len, NULL, 10) > req->max_body)
 		prepare_refusal(req, MW_ETOOBIG);
 	else if (len && !count_body(req, strtoull(len, NULL, 10)))
 		prepare_refusal(req, MW_EAGAIN);
@@ -610,7 +613,7 @@
 	if (!req->started)
 		return req_start(req, method, path, version);
 	if (*len) {
-		if (buf_unread(&req->body) + *len > h->cfg.max_body)
+		if (buf_unread(&req->body) + *len > req->max_body)
 			req->body_too_large = 1;
 		else if (!count_body(req, buf_unread(&req->body) + *len))
 			req->body_refused = 1;
@@ -993,6 +996,7 @@
 	if (cfg)
 		h->cfg = *cfg;
 	set_defaults(&h->cfg);
+	httpd_set_sizes(h, 0, 0);
 	h->loop = loop;
 	h->handler = handler;
 	h->ctx = ctx;
@@ -1076,6 +1080,15 @@
 	h->header_us = us;
 }
 
+void httpd_set_sizes(struct httpd *h, size_t max_header, size_t max_body)
+{
+	h->max_header = h->cfg.max_header;
+	if (max_header && (!h->max_header || max_header < h->max_header))
+		h->max_header = max_header;
+	h->max_body =
+		max_body ? MIN(max_body, h->cfg.max_body) : h->cfg.max_body;
+}
+
 unsigned int httpd_idle_closed(const struct httpd *h)
 {
 	return h->idle_closed;
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -117,6 +117,13 @@
  */
 void httpd_set_header_time(struct httpd *h, int64_t us);
 
+/*
+ * Replaces max_header and max_body of the configuration for requests whose
+ * headers are complete from now on; 0: those of the configuration, which they
+ * cannot exceed.
+ */
+void httpd_set_sizes(struct httpd *h, size_t max_header, size_t max_body);
+
 /* Whether the server no longer listens and all connections have ended. */
 bool httpd_is_drained(const struct httpd *h);
 
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -741,6 +741,28 @@
 }
 END_TEST
 
+/* Guards against limits of a published document that do not hold, and against a
+ * limit that it has withdrawn. */
+START_TEST(test_sizes)
+{
+	static char body[5000];
+
+	replace_server(&(struct httpd_config){.max_header = 10000,
+					      .max_body = sizeof(body)});
+	for (int i = 0; i < 3; i++) {
+		bool limited = i == 1;
+
+		httpd_set_sizes(server, limited ? 4000 : 0, limited ? 4000 : 0);
+		ck_assert_int_eq(status_with_headers(60, 80),
+				 limited ? 431 : 201);
+		struct call *c =
+			start(0, "POST", "/echo%20x?q=a+b", body, sizeof(body));
+		RUN_UNTIL(c->done);
+		ck_assert_int_eq(c->r.status, limited ? 413 : 201);
+	}
+}
+END_TEST
+
 /* Guards against headers that arrive for ever, and against closing a connection
  * on which no request has begun, before its idle time. */
 START_TEST(test_header_time)
@@ -790,6 +812,7 @@
 	tcase_add_test(tc, test_bodies_are_bounded_together);
 	tcase_add_test(tc, test_budget_sheds_unfinished_bodies);
 	tcase_add_test(tc, test_header_time);
+	tcase_add_test(tc, test_sizes);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
 	srunner_run_all(sr, CK_ENV);
