--- a/tests/test_membudget.c
+++ b/tests/test_membudget.c
@@ -78,13 +78,26 @@
 }
 END_TEST
 
+/* Guards against many small requests behind one balancer that are shed before a
+ * large one of another address. */
+START_TEST(test_balancer_is_not_shed_first)
+{
+	for (int i = 0; i < 20; i++)
+		hold(i, MEMBUDGET_ARRIVING, 1, 200 * KB, 0);
+	hold(20, MEMBUDGET_ARRIVING, 2, 3 * MB, 0);
+	hold(21, MEMBUDGET_HELD, 3, 2500 * KB, 0);
+	ck_assert_int_eq(n_shed, 1);
+	ck_assert_int_eq(shed[0], 20);
+}
+END_TEST
+
 /* Guards against ending work that may have begun, and against large bodies that
  * leave nothing for small requests. */
 START_TEST(test_held_is_never_shed)
 {
 	hold(0, MEMBUDGET_HELD, 1, 4 * MB, 0);
 	hold(1, MEMBUDGET_HELD, 1, 4 * MB, 0);
-	membudget_add(&budget, &holders[2], MEMBUDGET_ARRIVING, 2, 0);
+	membudget_add(&budget, &holders[2], MEMBUDGET_ANSWER, 2, 9 * S);
 	ck_assert(!membudget_set(&holders[2], 1 * MB, 9 * S));
 	ck_assert_int_eq((int)holders[2].bytes, 0);
 	ck_assert(membudget_set(&holders[2], 60 * KB, 9 * S));
@@ -168,6 +181,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, test_stalled_are_shed_first);
 	tcase_add_test(tc, test_large_then_many_of_one_address);
+	tcase_add_test(tc, test_balancer_is_not_shed_first);
 	tcase_add_test(tc, test_held_is_never_shed);
 	tcase_add_test(tc, test_trickling_expires);
 	tcase_add_test(tc, test_conns);
