--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -91,8 +91,11 @@
 	GStringChunk *region_names;
 	uint64_t regions_version; /* of the map that the region sets are bound
 				     to, 0: none */
-	int64_t idle_us; /* for which a caller's connection may be idle, 0:
-			    not stated */
+	int64_t idle_us;   /* for which a caller's connection may be idle, 0:
+			      not stated */
+	int64_t header_us; /* in which a request's headers arrive, 0: not
+			      stated */
+	size_t max_header, max_body; /* bytes of a request, 0: not stated */
 };
 
 /* Returns an empty plan with one reference. */
