forward: Plan moves by the figures of the engines' copies

While a target waits behind its prompts before it continues a generation, the source goes on; the target then produces the same events again, and the caller's stream pauses for all of that time. Targets were drawn by free memory only, and about 70 hosts order copies at once.

If the document states kv_token_bytes and link_mbps of a service:

- events of the source are delayed for the caller by up to 180 ms while the target is asked, and passed on while it catches up;
- the source goes on until the target's first event, not its headers;
- targets are weighted by the prompts that wait there, and the target is asked when few do;
- copies are ordered by their benefit for each token, and not while the generation probably ends by itself.

Services without these figures are moved as before.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "forward/move_order.h"
 #include "forward/place.h"
 #include "forward/spread.h"
 #include "policy/usage_interval.h"
@@ -163,6 +164,17 @@
 	}
 }
 
+/* Generations that are moved wait at a target behind the prompts there. */
+static void weigh_by_prefill(struct candidates *c, const struct request *r)
+{
+	const struct move_links links = {r->service->kv_token_bytes,
+					 r->service->link_mbps};
+
+	for (size_t i = 0; move_links_known(&links) && i < c->n; i++)
+		c->targets[i].move_weight =
+			move_target_weight(c->targets[i].prefill_tokens);
+}
+
 struct place_capacity request_capacity(struct request *r, int64_t now)
 {
 	struct candidates c = gather_candidates(r, "", r->fwd->conf->dc, now);
@@ -209,8 +221,10 @@
 	size_t index = 0;
 
 	placement.unseen = count_unseen(r, &c, now);
-	if (r->move.state != MOVE_NONE)
+	if (r->move.state != MOVE_NONE) {
 		reserve_for_other_sources(&c, r);
+		weigh_by_prefill(&c, r);
+	}
 	enum place_result res =
 		r->move.state != MOVE_NONE
 			? place_choose_move_target(c.targets, c.n,
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -134,6 +134,7 @@
 		return;
 	bool starts_leaving = ep->serving;
 	ep->serving = serving;
+	ep->leaving_since_us = starts_leaving ? clock_mono_us() : 0;
 	struct slog l = slog_begin("endpoint");
 	slog_str(&l, "endpoint", ep->id);
 	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -39,6 +39,7 @@
  *   choose.c        choice of an endpoint for a request or a KV copy
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
+ *   move_order.c    order and times of their copies
  *   source_stop.c   the end of a moved generation at its former endpoint
  *   pause.c         pauses that endpoints ask for
  *   owner_check.c   which server uses an address
@@ -80,8 +81,9 @@
 	uint64_t used_tokens;	   /* memory in use */
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
-	struct rate rate;    /* of requests, if the endpoint limits them */
-	int64_t paused_until_us; /* it asked for no requests before */
+	int64_t leaving_since_us; /* as known here; 0: it does not leave */
+	struct rate rate;	  /* of requests, if the endpoint limits them */
+	int64_t paused_until_us;  /* it asked for no requests before */
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
 	unsigned int consecutive_failures;
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -6,6 +6,7 @@
 #include "base/cleanup.h"
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/move_order.h"
 #include "forward/source_stop.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
@@ -23,6 +24,12 @@
  * by the target loses nothing, and the caller sees no pause.  The time in which
  * both run is bounded by OVERLAP_US.
  *
+ * If the service states the figures of its engines' copies (kv_token_bytes,
+ * link_mbps), move_order.c decides when each copy is ordered and when the
+ * target is asked, and the events of the source are delayed a little meanwhile:
+ * the target first produces again what the source produced while it waited
+ * there. Without these figures all copies are ordered at once.
+ *
  * Copies are not kept up to date from the start of each generation: they would
  * take as much memory as the generations themselves, and moves would find no
  * room.
@@ -54,14 +61,27 @@
 /* Time until a move without a target, or with a failed copy, is retried. */
 #define RETRY_INTERVAL_US (120 * USEC_PER_MSEC)
 
+/* Round trip of an order that copies what was produced since the last one. */
+#define SECOND_COPY_ROUND_TRIP_US (4 * USEC_PER_MSEC)
+
+/* Until the next try to judge a generation that probably ends by itself. */
+#define JUDGE_INTERVAL_US (100 * USEC_PER_MSEC)
+
+/* Time that an engine takes for a token, before its own pace is known. */
+#define TOKEN_TIME_US (10 * USEC_PER_MSEC)
+
+/* Events from which the pace of a generation is computed. */
+#define PACE_EVENTS_MIN 8
+
 static void send_copy_order(struct request *r);
 static void begin_copy(struct request *r, int64_t now);
+static void resume_when_due(struct request *r, int64_t now);
 static void delete_copy(struct request *r, const char *handle);
 
 static void log_move(struct request *r, const char *outcome, int64_t now)
 {
 	static const char *const step_names[] = {"none", "wait", "copy",
-						 "resume"};
+						 "ready", "resume"};
 	const struct fwd_endpoint *ep =
 		endpoints_find(r->fwd, r->move.target.endpoint_id);
 	struct slog l = slog_begin("move");
@@ -87,6 +107,91 @@
 	slog_end(&l);
 }
 
+/* ---- input of move_order.c ---- */
+
+static struct move_links links_of(const struct request *r)
+{
+	return (struct move_links){.token_bytes = r->service->kv_token_bytes,
+				   .mbps = r->service->link_mbps};
+}
+
+/* Whether copies are planned, and the caller's events are spaced meanwhile. */
+static bool is_planned(const struct request *r)
+{
+	const struct move_links links = links_of(r);
+
+	return move_links_known(&links);
+}
+
+static uint64_t tokens_of_events(const struct request *r, uint64_t events)
+{
+	return events * MAX(r->service->tokens_per_event, 1u);
+}
+
+static struct move_source source_of(const struct request *r)
+{
+	const struct fwd_endpoint *ep =
+		endpoints_find(r->fwd, r->move.source_id);
+
+	if (!ep)
+		return (struct move_source){0};
+	return (struct move_source){
+		.leaving_since_us = ep->leaving_since_us,
+		.tokens = ep->used_tokens ? ep->used_tokens
+					  : ep->needed_here_tokens +
+						    ep->needed_elsewhere_tokens,
+		.generations = ep->open_here + ep->open_elsewhere};
+}
+
+/* The probability that the generation runs after so many more tokens. */
+static double probability_of_running(const struct request *r, double tokens,
+				     int64_t now)
+{
+	struct est_query q = {.account = "",
+			      .route = r->route->name,
+			      .produced =
+				      (uint32_t)tokens_of_events(r, r->events),
+			      .max_tokens = r->ask.max_tokens};
+	struct est_forecast f;
+	size_t i = 1;
+
+	est_forecast(r->fwd->est, &q, now, &f);
+	while (i < EST_STEPS - 1 && est_step_tokens[i] < tokens)
+		i++;
+	double low = est_step_tokens[i - 1], high = est_step_tokens[i];
+	double part = CLAMP((tokens - low) / (high - low), 0, 1);
+	return f.survival[i - 1] * (1 - part) + f.survival[i] * part;
+}
+
+static struct move_candidate candidate_of(const struct request *r, int64_t now)
+{
+	const struct move_source source = source_of(r);
+	int64_t left_us = source.leaving_since_us + MOVE_NOTICE_MIN_US - now;
+	uint64_t produced = tokens_of_events(r, r->events);
+	double token_us = TOKEN_TIME_US;
+
+	if (r->events >= PACE_EVENTS_MIN &&
+	    r->last_event_us > r->first_event_us)
+		token_us = (double)(r->last_event_us - r->first_event_us) /
+			   (double)produced;
+	return (struct move_candidate){
+		.tokens = r->ask.prompt_tokens + produced,
+		.p_running =
+			source.leaving_since_us
+				? probability_of_running(
+					  r, MAX((double)left_us, 0) / token_us,
+					  now)
+				: 1};
+}
+
+static uint64_t prefill_at_target(const struct request *r)
+{
+	const struct fwd_endpoint *ep =
+		endpoints_find(r->fwd, r->move.target.endpoint_id);
+
+	return ep ? ep->prefill_here_tokens + ep->prefill_elsewhere_tokens : 0;
+}
+
 /* Whether the source still sends events of the generation. */
 static bool runs_at_source(const struct request *r)
 {
@@ -140,6 +245,7 @@
 	}
 	log_move(r, "resume", now);
 	r->move.state = MOVE_RESUME;
+	r->move.resume_us = now;
 	r->move.due_us = now + OVERLAP_US;
 	r->move.refusal_bytes = 0;
 	r->move.target_waits = false;
@@ -169,6 +275,15 @@
 		move_begin(r, now);
 }
 
+int64_t move_event_delay(const struct request *r, int64_t now)
+{
+	if (r->move.state != MOVE_RESUME || !runs_at_source(r) ||
+	    !is_planned(r))
+		return 0;
+	return move_event_delay_us(now - r->move.resume_us,
+				   r->route->target_gap_us);
+}
+
 static void cancel_target(struct request *r, int64_t now)
 {
 	fetch_cancel(r->move.target_fetch);
@@ -176,25 +291,12 @@
 	move_target_failed(r, now);
 }
 
-void move_target_data(struct request *r, const char *p, size_t n, int64_t now)
-{
-	if (r->move.target_waits) {
-		buf_add(&r->move.target_events, p, n);
-		return;
-	}
-	/* The body of a refusal is not used, and may never end. */
-	r->move.refusal_bytes += n;
-	if (r->move.refusal_bytes > REFUSAL_MAX_BYTES)
-		cancel_target(r, now);
-}
-
-bool move_event_ended(struct request *r, int64_t now)
+/* Continues at the target, whose answer waited, with what it has sent. */
+static bool switch_to_waiting_target(struct request *r, int64_t now)
 {
 	struct fwd_endpoint *ep =
 		endpoints_find(r->fwd, r->move.target.endpoint_id);
 
-	if (!r->move.target_waits)
-		return false;
 	if (!ep) {
 		cancel_target(r, now);
 		return false;
@@ -209,6 +311,30 @@
 	return true;
 }
 
+void move_target_data(struct request *r, const char *p, size_t n, int64_t now)
+{
+	if (r->move.target_waits) {
+		buf_add(&r->move.target_events, p, n);
+		if (is_planned(r) && !relay_event_is_cut(r))
+			switch_to_waiting_target(r, now);
+		else if (is_planned(r))
+			fetch_pause(r->move.target_fetch);
+		return;
+	}
+	/* The body of a refusal is not used, and may never end. */
+	r->move.refusal_bytes += n;
+	if (r->move.refusal_bytes > REFUSAL_MAX_BYTES)
+		cancel_target(r, now);
+}
+
+bool move_event_ended(struct request *r, int64_t now)
+{
+	if (!r->move.target_waits ||
+	    (is_planned(r) && !buf_unread(&r->move.target_events)))
+		return false;
+	return switch_to_waiting_target(r, now);
+}
+
 void move_target_answered(struct request *r, int status, bool valid,
 			  int64_t now)
 {
@@ -221,6 +347,10 @@
 		return;
 	if (!valid || !ep) {
 		cancel_target(r, now);
+	} else if (is_planned(r) && runs_at_source(r)) {
+		/* The source goes on until the target sends its first event:
+		 * an engine may answer before it has processed anything. */
+		r->move.target_waits = true;
 	} else if (relay_event_is_cut(r)) {
 		r->move.target_waits = true;
 		fetch_pause(r->move.target_fetch);
@@ -270,6 +400,29 @@
 						       : 0;
 }
 
+/* Whether the copy is ordered now; if not, the move waits or has ended. */
+static bool is_copy_due(struct request *r, int64_t now)
+{
+	if (!is_planned(r) || !runs_at_source(r))
+		return true;
+	const struct move_links links = links_of(r);
+	const struct move_source source = source_of(r);
+	const struct move_candidate c = candidate_of(r, now);
+	switch (move_order_judge(&links, &source, &c, now)) {
+	case MOVE_ORDER_NOW:
+		return true;
+	case MOVE_ORDER_LATER:
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = now + JUDGE_INTERVAL_US;
+		return false;
+	case MOVE_ORDER_TOO_LATE:
+		break;
+	}
+	log_move(r, "too late", now);
+	r->move.state = MOVE_NONE;
+	return false;
+}
+
 /* Chooses a target and orders the source, which must still run, to copy. */
 static void begin_copy(struct request *r, int64_t now)
 {
@@ -284,6 +437,8 @@
 	}
 	request_remove_copy(r, &r->move.target);
 	r->move.handle[0] = '\0';
+	if (!is_copy_due(r, now))
+		return;
 	r->move.state = MOVE_COPY;
 	if (!runs_at_source(r) || !r->service->can_move_generations ||
 	    r->move.copy_attempts >= COPY_ATTEMPTS_MAX ||
@@ -292,9 +447,25 @@
 		return;
 	}
 	r->move.copy_attempts++;
+	r->move.second_copy = false;
 	send_copy_order(r);
 }
 
+/* Begins the move when the order of all hosts' copies says so. */
+static void begin_copy_in_order(struct request *r, int64_t now)
+{
+	if (is_planned(r)) {
+		const struct move_links links = links_of(r);
+		const struct move_source source = source_of(r);
+		const struct move_candidate c = candidate_of(r, now);
+
+		r->move.state = MOVE_WAIT;
+		r->move.due_us = now + move_order_delay_us(&links, &source, &c);
+	}
+	if (!is_planned(r) || r->move.due_us <= now)
+		begin_copy(r, now);
+}
+
 void move_begin(struct request *r, int64_t now)
 {
 	const struct fwd_endpoint *source =
@@ -309,7 +480,7 @@
 	r->move.copy_attempts = 0;
 	r->move.last_status = 0;
 	r->move.start_us = now;
-	begin_copy(r, now);
+	begin_copy_in_order(r, now);
 }
 
 void move_endpoint_generations(struct fwd *f, struct fwd_endpoint *ep,
@@ -333,6 +504,8 @@
 		return;
 	if (r->move.state == MOVE_WAIT) {
 		begin_copy(r, now);
+	} else if (r->move.state == MOVE_READY) {
+		resume_when_due(r, now);
 	} else if (r->move.state == MOVE_RESUME && runs_at_source(r) &&
 		   relay_event_is_cut(r)) {
 		/* Only the source can end the event that the caller has got a
@@ -347,7 +520,8 @@
 
 bool move_source_ended(struct request *r)
 {
-	if (r->move.state != MOVE_COPY && r->move.state != MOVE_RESUME)
+	if (r->move.state != MOVE_COPY && r->move.state != MOVE_READY &&
+	    r->move.state != MOVE_RESUME)
 		return false;
 	/* Wait for the answer to the copy order, or for that of the target. */
 	r->state = REQUEST_PAUSED;
@@ -379,13 +553,37 @@
 				       clock_mono_us());
 }
 
+/* Copies the rest, asks the target, or waits until it is less busy. */
+static void resume_when_due(struct request *r, int64_t now)
+{
+	const struct move_links links = links_of(r);
+	const struct move_source source = source_of(r);
+	uint64_t grown = tokens_of_events(r, r->events - r->move.copied_events);
+
+	if (is_planned(r) && runs_at_source(r) &&
+	    !move_resume_due(&source, prefill_at_target(r), now)) {
+		r->move.state = MOVE_READY;
+		r->move.due_us = now;
+		return;
+	}
+	if (is_planned(r) && runs_at_source(r) && !r->move.second_copy &&
+	    move_second_copy_due(&links, &source, grown,
+				 SECOND_COPY_ROUND_TRIP_US, now)) {
+		r->move.second_copy = true;
+		r->move.state = MOVE_COPY;
+		send_copy_order(r);
+		return;
+	}
+	resume_at_target(r, now);
+}
+
 static void on_copied(struct request *r, const struct move_answer *answer,
 		      int64_t now)
 {
 	snprintf(r->move.handle, sizeof(r->move.handle), "%s/%s",
 		 r->move.source_addr, answer->handle);
 	log_move(r, "copied", now);
-	resume_at_target(r, now);
+	resume_when_due(r, now);
 }
 
 static void on_copy_order_done(void *arg, struct fetch *fetch,
@@ -408,6 +606,11 @@
 		return;
 	}
 	log_move(r, err_info(err)->kind, now);
+	if (r->move.second_copy && *r->move.handle) {
+		/* The first copy is still at the target. */
+		resume_at_target(r, now);
+		return;
+	}
 	if (err != -MW_EAGAIN)
 		r->move.copy_attempts = COPY_ATTEMPTS_MAX;
 	retry_or_give_up(r, now);
@@ -441,6 +644,7 @@
 				  .timeout_ms = COPY_ORDER_TIMEOUT_MS,
 				  .body_max = REPLY_MAX_BYTES};
 	buf_consume(&r->move.copy_reply, buf_unread(&r->move.copy_reply));
+	r->move.copied_events = r->events;
 	r->move.copy_fetch = fetch_start(f->fetcher, &spec, &copy_order_ops, r);
 }
 
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -245,7 +245,9 @@
 		if (room < need_tokens || !room || g > group ||
 		    g >= MOVE_GROUPS)
 			continue;
-		double d = draw_exponential(&targets[i], (double)room);
+		double weight =
+			targets[i].move_weight > 0 ? targets[i].move_weight : 1;
+		double d = draw_exponential(&targets[i], (double)room * weight);
 		if (g == group && d >= best)
 			continue;
 		result = PLACE_OK;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -20,10 +20,12 @@
  */
 
 struct place_target {
-	bool usable;	   /* serving, and not avoided after a failure */
-	bool excluded;	   /* the request was there already */
-	bool rate_limited; /* takes no further request at present */
-	bool reserved;	   /* for moves from another endpoint that leaves */
+	bool usable;	    /* serving, and not avoided after a failure */
+	bool excluded;	    /* the request was there already */
+	bool rate_limited;  /* takes no further request at present */
+	bool reserved;	    /* for moves from another endpoint that leaves */
+	double move_weight; /* factor of its share of the moves; 0: not stated,
+			       which is 1 */
 	unsigned int
 		distance;   /* 0: same data centre, 1: same region, 2: other */
 	unsigned int slots; /* requests that it runs at the same time */
@@ -91,11 +93,11 @@
  *
  * All hosts move the generations of a leaving endpoint at the same moment, and
  * none knows yet what the other hosts choose.  So each draws an endpoint of the
- * source's data centre with a probability in proportion to its free memory.  An
- * endpoint copies one generation after another, and a copy waits until the
- * links of source and target are both free.  So each source has targets that
- * are not reserved for another source, and uses reserved ones only if those
- * have no room.
+ * source's data centre with a probability in proportion to its free memory and
+ * its move_weight.  An endpoint copies one generation after another, and a copy
+ * waits until the links of source and target are both free.  So each source has
+ * targets that are not reserved for another source, and uses reserved ones only
+ * if those have no room.
  */
 enum place_result place_choose_move_target(const struct place_target *targets,
 					   size_t n, uint64_t need_tokens,
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -22,6 +22,9 @@
 	bool can_move_generations; /* its engines can copy a generation to
 				      another one */
 	unsigned int tokens_per_event; /* tokens in one event of a stream */
+	/* Figures of copies, 0: not stated. */
+	uint64_t kv_token_bytes; /* KV cache of a token */
+	unsigned int link_mbps;	 /* of an engine, in each direction */
 };
 
 enum plan_route_kind {
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -298,9 +298,11 @@
 	struct request *r, *tmp;
 
 	request_place_waiting(f, now);
-	list_for_each_entry_safe (r, tmp, &f->requests, node)
+	list_for_each_entry_safe (r, tmp, &f->requests, node) {
+		relay_tick(r, now);
 		if (r->move.state != MOVE_NONE)
 			move_tick(r, now);
+	}
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
 		if (now - r->arrived_us < wait_max_us(r))
 			continue;
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -59,6 +59,62 @@
 	}
 }
 
+/*
+ * When a part of an event is passed on: later than now only while the stream
+ * moves, see move_event_delay(), and until the delayed ones before it are.
+ */
+static int64_t choose_due_us(const struct request *r, int64_t now)
+{
+	int64_t due_us = now + move_event_delay(r, now);
+
+	if (list_empty(&r->delayed))
+		return due_us;
+	return MAX(
+		due_us,
+		list_entry(r->delayed.prev, struct delayed_part, node)->due_us);
+}
+
+static void pass_on(struct request *r, const char *p, size_t n, int64_t due_us,
+		    int64_t now)
+{
+	if (due_us <= now) {
+		relay_tick(r, now);
+		write_to_caller(r, p, n);
+		return;
+	}
+	struct delayed_part *d = g_new0(struct delayed_part, 1);
+	d->due_us = due_us;
+	buf_add(&d->bytes, p, n);
+	list_add_tail(&r->delayed, &d->node);
+}
+
+static void delayed_free(struct delayed_part *d)
+{
+	list_del(&d->node);
+	buf_release(&d->bytes);
+	g_free(d);
+}
+
+void relay_tick(struct request *r, int64_t now)
+{
+	struct delayed_part *d, *tmp;
+
+	list_for_each_entry_safe (d, tmp, &r->delayed, node) {
+		if (d->due_us > now)
+			return;
+		write_to_caller(r, buf_head(&d->bytes), buf_unread(&d->bytes));
+		delayed_free(d);
+	}
+}
+
+void relay_release(struct request *r)
+{
+	struct delayed_part *d, *tmp;
+
+	list_for_each_entry_safe (d, tmp, &r->delayed, node)
+		delayed_free(d);
+}
+
 static void record_event_gap(struct request *r, int64_t now)
 {
 	int64_t gap_us = now - r->last_event_us;
@@ -114,14 +170,15 @@
 		request_prefill_done(r);
 		r->part = was_passed_on(r) ? PART_DROPPED : PART_PASSED;
 	}
+	int64_t due_us = choose_due_us(r, now);
 	if (r->part == PART_PASSED)
-		write_to_caller(r, buf_head(&r->partial_event),
-				buf_unread(&r->partial_event));
+		pass_on(r, buf_head(&r->partial_event),
+			buf_unread(&r->partial_event), due_us, now);
 	buf_consume(&r->partial_event, buf_unread(&r->partial_event));
 	if (!whole)
 		return;
 	if (r->part == PART_PASSED && r->scan.has_id && !was_passed_on(r))
-		record_event(r, now);
+		record_event(r, due_us);
 	r->part = PART_KEPT;
 }
 
@@ -194,6 +251,7 @@
 	}
 	if (complete && !event_scan_is_inside(&r->scan)) {
 		r->stream_ended = true;
+		relay_tick(r, INT64_MAX);
 		if (!buf_unread(&r->unsent_events))
 			finish_stream(r, now);
 		return;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -189,6 +189,7 @@
 
 	request_detach(r);
 	move_release(r);
+	relay_release(r);
 	if (r->state == REQUEST_WAITING && r->wait_node.next != &r->wait_node)
 		f->n_waiting--;
 	list_del(&r->wait_node);
@@ -670,6 +671,7 @@
 	list_add_tail(&f->requests, &r->node);
 	list_init(&r->wait_node);
 	list_init(&r->endpoint_node);
+	list_init(&r->delayed);
 	f->n_requests++;
 	httpd_set_owner(http, &http_ops, r);
 	int err = f->iface->decode_request(http, &r->ask);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -32,6 +32,7 @@
 	MOVE_NONE,
 	MOVE_WAIT,   /* until the next attempt to copy */
 	MOVE_COPY,   /* the KV cache is copied while the generation continues */
+	MOVE_READY,  /* the copy is complete; the target is still too busy */
 	MOVE_RESUME, /* the request was sent to the target; no answer yet */
 };
 
@@ -66,10 +67,20 @@
 				       for the end of the source's event */
 	struct buf target_events;   /* received meanwhile */
 	unsigned int copy_attempts; /* copy orders sent */
+	uint64_t copied_events;	    /* passed on when the copy was ordered */
+	bool second_copy;	    /* a short one was ordered */
 	int64_t start_us;
+	int64_t resume_us; /* when the target was asked */
 	int64_t due_us; /* when MOVE_WAIT or MOVE_RESUME takes its next step */
 };
 
+/* Events that are passed on to the caller at a later time. */
+struct delayed_part {
+	struct list node; /* in request::delayed */
+	int64_t due_us;
+	struct buf bytes;
+};
+
 struct request {
 	struct list node;	   /* in fwd::requests */
 	struct list wait_node;	   /* in fwd::waiting */
@@ -114,8 +125,10 @@
 	struct buf partial_event; /* of it, not passed on */
 	enum event_part part;
 	struct buf unsent_events; /* the caller's buffer is full */
-	uint64_t last_event_id;	  /* of the events passed on */
-	uint64_t events;	  /* passed on */
+	struct list delayed;	  /* struct delayed_part, after those of
+				     unsent_events */
+	uint64_t last_event_id;	  /* of the events passed on or delayed */
+	uint64_t events;	  /* passed on or delayed */
 	int64_t first_event_us;
 	int64_t last_event_us;
 	int64_t longest_gap_us;	    /* between two events */
@@ -195,6 +208,10 @@
 			 int64_t now);
 /* The caller's buffer has room again; may free the request. */
 void relay_drained(struct request *r, int64_t now);
+/* Passes on delayed events that are due. */
+void relay_tick(struct request *r, int64_t now);
+/* Frees the delayed events. */
+void relay_release(struct request *r);
 /* Aborts the caller's connection, so that the stream does not look complete,
  * and frees the request. */
 void relay_abort(struct request *r, const char *why, int64_t now);
@@ -213,6 +230,9 @@
 void relay_drop_part(struct request *r);
 
 /* ---- move.c ---- */
+/* Delay of an event that arrives from the source now, so that the caller sees
+ * no long pause when the target continues. */
+int64_t move_event_delay(const struct request *r, int64_t now);
 /* A part of the body of the target's answer. */
 void move_target_data(struct request *r, const char *p, size_t n, int64_t now);
 /* The source's event has ended; true if the stream goes on at the target now,
