policy: Reserve memory by the caller's hint, the history and the output so far

Engines ran out of memory and processed prompts again, mostly as hosts place urgent requests at the same engine within the 0.2 s for which they do not see each other's; the forecast of a generation's length was a quantile of its route's, whatever the caller had stated.

For requests with X-Length-Hint, the expected length and its uncertainty now come from the hint, whose spread is learned for each route, from the lengths of the account and the route, and from the output so far. A deferrable generation leaves room at each engine for what other hosts place unseen. Requests without a hint are forecast and placed as before.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -184,9 +184,10 @@
 	return s;
 }
 
-/* Requests that other hosts place while this one does not see them. */
-static double count_unseen(struct request *r, const struct candidates *c,
-			   int64_t now)
+/* Requests that other hosts place while this one does not see them: new ones,
+ * and if with_queued those that wait there. */
+static double count_unseen_of(struct request *r, const struct candidates *c,
+			      bool with_queued, int64_t now)
 {
 	struct rate_hosts hosts =
 		endpoints_rate_hosts(r->fwd, r->service->name, now);
@@ -199,11 +200,33 @@
 
 	if (!hosts.recent)
 		lag_us = MIN(now - r->fwd->totals_received_us, RATE_WINDOW_US);
-	return place_unseen(
-		arrivals * USEC_PER_SEC / RATE_WINDOW_US, lag_us,
-		r->generation && hosts.recent ? s->queued_elsewhere_tokens : 0,
-		place_sum_capacity(c->targets, c->n).room_tokens,
-		r->need_tokens);
+	return place_unseen(arrivals * USEC_PER_SEC / RATE_WINDOW_US, lag_us,
+			    with_queued && r->generation && hosts.recent
+				    ? s->queued_elsewhere_tokens
+				    : 0,
+			    place_sum_capacity(c->targets, c->n).room_tokens,
+			    r->need_tokens);
+}
+
+static double count_unseen(struct request *r, const struct candidates *c,
+			   int64_t now)
+{
+	return count_unseen_of(r, c, true, now);
+}
+
+/* Memory that the request leaves free at each endpoint. */
+static uint64_t margin_tokens(struct request *r, const struct candidates *c,
+			      int64_t now)
+{
+	size_t usable = 0;
+
+	if (!r->ask.length_hint || request_is_urgent(r))
+		return 0;
+	for (size_t i = 0; i < c->n; i++)
+		usable += c->targets[i].usable;
+	/* What waits elsewhere is placed within quotas of the free room. */
+	return length_margin(count_unseen_of(r, c, false, now), usable,
+			     r->need_tokens);
 }
 
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
@@ -220,6 +243,7 @@
 	struct candidates c = gather_candidates(r, except_id, near_dc, now);
 	size_t index = 0;
 
+	placement.margin_tokens = margin_tokens(r, &c, now);
 	placement.unseen = count_unseen(r, &c, now);
 	if (r->move.state != MOVE_NONE) {
 		reserve_for_other_sources(&c, r);
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -224,6 +224,7 @@
 	list_init(&f->waiting);
 	list_init(&f->source_stops);
 	f->est = est_new(NULL);
+	f->length = length_new(f->est);
 	f->est_call_ms = est_new(NULL);
 	f->fetcher = fetcher_new(loop, IDLE_CONNS_MAX);
 	endpoints_start(f);
@@ -271,6 +272,7 @@
 	plan_parse_stop(f);
 	endpoints_stop(f);
 	plan_unref(f->plan);
+	length_free(f->length);
 	est_free(f->est);
 	est_free(f->est_call_ms);
 	g_rand_free(f->rand);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -21,6 +21,7 @@
 #include "net/httpd.h"
 #include "net/peer.h"
 #include "policy/est.h"
+#include "policy/length.h"
 #include "policy/owner.h"
 #include "policy/registry.h"
 
@@ -153,6 +154,7 @@
 
 	/* request.c */
 	struct output_estimator *est; /* forecast of output tokens, by route */
+	struct length_model *length;  /* the same, for requests with a hint */
 	struct output_estimator *est_call_ms; /* of durations of calls */
 	struct list requests;		      /* all requests */
 	struct list waiting;	  /* for an endpoint, by rank, then arrival */
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -83,6 +83,8 @@
 	if (t->prefill_tokens &&
 	    t->prefill_tokens + request->prompt_tokens > prefill_max)
 		return false;
+	memory = MIN(memory, t->memory_tokens - MIN(t->memory_tokens,
+						    request->margin_tokens));
 	/* A request may be larger than `memory` if it runs there alone. */
 	return !t->open_requests ||
 	       t->needed_tokens + request->need_tokens <= memory;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -46,7 +46,9 @@
 	uint32_t prompt_tokens;
 	uint64_t need_tokens; /* memory needed when it ends */
 	double unseen; /* requests that other hosts place at the same time */
-	double random; /* uniform between 0 and 1 */
+	uint64_t margin_tokens; /* memory of each target that is kept free for
+				   those */
+	double random;		/* uniform between 0 and 1 */
 };
 
 enum place_result {
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -220,7 +220,10 @@
 	unsigned int tokens_per_event =
 		r->service->tokens_per_event ? r->service->tokens_per_event : 1;
 
-	if (r->generation)
+	if (r->generation && r->ask.length_hint) {
+		const struct length_query q = request_length_query(r);
+		length_observe(r->fwd->length, &q, q.produced, now);
+	} else if (r->generation)
 		est_observe(r->fwd->est, "", r->route->name,
 			    (uint32_t)(r->events * tokens_per_event), now);
 	request_log(r, "answered", "ok", now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -109,6 +109,18 @@
 
 /* ---- load on the endpoint ---- */
 
+struct length_query request_length_query(const struct request *r)
+{
+	return (struct length_query){
+		.account = r->account ? r->account->name : "",
+		.route = r->route->name,
+		.hint = r->ask.length_hint,
+		.produced = (uint32_t)(r->events *
+				       MAX(r->service->tokens_per_event, 1u)),
+		.max_tokens = r->ask.max_tokens};
+}
+
+/* Prompt and output, when the generation ends. */
 static uint64_t forecast_total_tokens(struct request *r, int64_t now)
 {
 	unsigned int tokens_per_event =
@@ -119,7 +131,14 @@
 				      (uint32_t)(r->events * tokens_per_event),
 			      .max_tokens = r->ask.max_tokens};
 
-	return q.produced + est_quantile(r->fwd->est, &q, NEED_QUANTILE, now);
+	if (r->ask.length_hint) {
+		const struct length_query lq = request_length_query(r);
+		struct length_estimate e =
+			length_estimate(r->fwd->length, &lq, now);
+		return length_reserve(r->ask.prompt_tokens, &e);
+	}
+	return r->ask.prompt_tokens + q.produced +
+	       est_quantile(r->fwd->est, &q, NEED_QUANTILE, now);
 }
 
 void request_update_need(struct request *r, int64_t now)
@@ -129,7 +148,7 @@
 
 	if (!r->generation)
 		return;
-	need = r->ask.prompt_tokens + forecast_total_tokens(r, now);
+	need = forecast_total_tokens(r, now);
 	if (ep && r->need_tokens) {
 		ep->needed_here_tokens =
 			ep->needed_here_tokens + need - r->need_tokens;
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -187,6 +187,9 @@
 /* Called for each event: the endpoint has processed the prompt. */
 void request_prefill_done(struct request *r);
 
+/* What is known of the length of the request's output. */
+struct length_query request_length_query(const struct request *r);
+
 /* Forecasts the memory that the request will need, and updates the load of its
  * endpoint. */
 void request_update_need(struct request *r, int64_t now);
--- a/src/iface/iface.h
+++ b/src/iface/iface.h
@@ -54,6 +54,7 @@
 	const char *model;	/* NULL: not a generation */
 	uint32_t prompt_tokens; /* 0: unspecified */
 	uint32_t max_tokens;	/* output limit, 0: unspecified */
+	uint32_t length_hint;	/* output tokens expected, 0: unspecified */
 	struct prompt_part parts[PROMPT_PARTS_MAX]; /* in prompt order */
 	size_t n_parts;
 	uint64_t last_event_id; /* last event the caller received, 0: none */
--- a/src/policy/est.c
+++ b/src/policy/est.c
@@ -185,6 +185,15 @@
 		p[b] = (h->counts[b] * f + k * p[b]) / sum;
 }
 
+void est_distribution(struct output_estimator *e, const char *account,
+		      const char *route, int64_t now, double *p)
+{
+	memcpy(p, e->initial_distribution, sizeof(e->initial_distribution));
+	blend_histogram(e, p, &e->global, now);
+	blend_histogram(e, p, find_histogram(e, "", route), now);
+	blend_histogram(e, p, find_histogram(e, account, route), now);
+}
+
 /*
  * A range of remaining lengths in tokens, uniformly distributed, with its
  * probability mass.
@@ -205,11 +214,7 @@
 	double p[EST_BUCKETS], done = q->produced;
 	unsigned n = 0;
 
-	memcpy(p, e->initial_distribution, sizeof(p));
-	blend_histogram(e, p, &e->global, now);
-	blend_histogram(e, p, find_histogram(e, "", q->route), now);
-	blend_histogram(e, p, find_histogram(e, q->account, q->route), now);
-
+	est_distribution(e, q->account, q->route, now, p);
 	*total = 0;
 	for (unsigned b = 0; b < EST_BUCKETS; b++) {
 		double lo = exp2(b), hi = exp2(b + 1), mass = p[b];
--- a/src/policy/est.h
+++ b/src/policy/est.h
@@ -72,6 +72,13 @@
 void est_forecast(struct output_estimator *e, const struct est_query *q,
 		  int64_t now, struct est_forecast *out);
 
+/*
+ * Writes the distribution of the output lengths of the account's requests on
+ * the route: the probability of each bucket.
+ */
+void est_distribution(struct output_estimator *e, const char *account,
+		      const char *route, int64_t now, double *p);
+
 /* Returns the number of histograms, except the global one. */
 size_t est_n_histograms(const struct output_estimator *e);
 
