--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "forward/move_order.h"
 #include "forward/place.h"
 #include "forward/regions.h"
 #include "forward/spread.h"
@@ -272,6 +273,17 @@
 	return demand_competing(d, allowed, &a);
 }
 
+/* Generations that are moved wait at a target behind the prompts there. */
+static void weigh_by_prefill(struct candidates *c, const struct request *r)
+{
+	const struct move_links links = {r->service->kv_token_bytes,
+					 r->service->link_mbps};
+
+	for (size_t i = 0; move_links_known(&links) && i < c->n; i++)
+		c->targets[i].move_weight =
+			move_target_weight(c->targets[i].prefill_tokens);
+}
+
 struct place_capacity request_capacity(struct request *r, int64_t now)
 {
 	struct candidates c = gather_candidates(r, "", r->fwd->conf->dc, now);
@@ -281,9 +293,10 @@
 	return s;
 }
 
-/* Requests that other hosts place while this one does not see them. */
-static double count_unseen(struct request *r, const struct candidates *c,
-			   int64_t now)
+/* Requests that other hosts place while this one does not see them: new ones,
+ * and if with_queued those that wait there. */
+static double count_unseen_of(struct request *r, const struct candidates *c,
+			      bool with_queued, int64_t now)
 {
 	struct rate_hosts hosts =
 		endpoints_rate_hosts(r->fwd, r->service->name, now);
@@ -292,7 +305,7 @@
 	double arrivals = hosts.recent ? hosts.arrivals_elsewhere
 				       : (double)hosts.arrivals * (hosts.n - 1);
 	uint64_t queued_tokens =
-		r->generation && hosts.recent
+		with_queued && r->generation && hosts.recent
 			? request_competing(r, &s->queued_elsewhere, false, now)
 			: 0;
 	int64_t lag_us = usage_lag_us(hosts.n, r->fwd->use_report_rows,
@@ -342,6 +355,27 @@
 					index);
 }
 
+static double count_unseen(struct request *r, const struct candidates *c,
+			   int64_t now)
+{
+	return count_unseen_of(r, c, true, now);
+}
+
+/* Memory that the request leaves free at each endpoint. */
+static uint64_t margin_tokens(struct request *r, const struct candidates *c,
+			      int64_t now)
+{
+	size_t usable = 0;
+
+	if (!r->ask.length_hint || request_is_urgent(r))
+		return 0;
+	for (size_t i = 0; i < c->n; i++)
+		usable += c->targets[i].usable;
+	/* What waits elsewhere is placed within quotas of the free room. */
+	return length_margin(count_unseen_of(r, c, false, now), usable,
+			     r->need_tokens);
+}
+
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
 					     const char *except_id,
 					     const char *near_dc,
@@ -356,9 +390,12 @@
 	struct candidates c = gather_candidates(r, except_id, near_dc, now);
 	size_t index = 0;
 
+	placement.margin_tokens = margin_tokens(r, &c, now);
 	placement.unseen = count_unseen(r, &c, now);
-	if (r->move.state != MOVE_NONE)
+	if (r->move.state != MOVE_NONE) {
 		reserve_for_other_sources(&c, r);
+		weigh_by_prefill(&c, r);
+	}
 	enum place_result res =
 		r->move.state != MOVE_NONE
 			? choose_target(&c, r, &index)
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -22,6 +22,7 @@
 #include "net/peer.h"
 #include "policy/est.h"
 #include "policy/evacuation.h"
+#include "policy/length.h"
 #include "policy/owner.h"
 #include "policy/pause.h"
 #include "policy/registry.h"
@@ -46,6 +47,7 @@
  *   regions.c       regions that a request may be sent to
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
+ *   move_order.c    order and times of their copies
  *   source_stop.c   the end of a moved generation at its former endpoint
  *   pause.c         pauses that endpoints ask for
  *   owner_check.c   which server uses an address
@@ -88,10 +90,11 @@
 	uint64_t used_tokens;	   /* memory in use */
 	unsigned int engine_queue; /* requests that wait in its queue */
 	int64_t move_due_us; /* when its generations are moved away; 0: never */
-	struct rate rate;    /* of requests, if the endpoint limits them */
-	struct warmup warmup;	 /* limit of requests while it is cold */
-	bool was_cold;		 /* at the last tick */
-	int64_t paused_until_us; /* it asked for no requests before */
+	int64_t leaving_since_us; /* as known here; 0: it does not leave */
+	struct rate rate;	  /* of requests, if the endpoint limits them */
+	struct warmup warmup;	  /* limit of requests while it is cold */
+	bool was_cold;		  /* at the last tick */
+	int64_t paused_until_us;  /* it asked for no requests before */
 	/* Failures of attempts. */
 	int64_t avoid_until_us;
 	unsigned int consecutive_failures;
@@ -182,6 +185,7 @@
 
 	/* request.c */
 	struct output_estimator *est; /* forecast of output tokens, by route */
+	struct length_model *length;  /* the same, for requests with a hint */
 	struct output_estimator *est_call_ms; /* of durations of calls */
 	struct list requests;		      /* all requests */
 	struct list unadmitted;	  /* arrived before the first plan */
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -83,6 +83,8 @@
 	if (t->prefill_tokens &&
 	    t->prefill_tokens + request->prompt_tokens > prefill_max)
 		return false;
+	memory = MIN(memory, t->memory_tokens - MIN(t->memory_tokens,
+						    request->margin_tokens));
 	/* A request may be larger than `memory` if it runs there alone. */
 	return !t->open_requests ||
 	       t->needed_tokens + request->need_tokens <= memory;
@@ -261,7 +263,9 @@
 		if (room < need_tokens || !room || g > group ||
 		    g >= MOVE_GROUPS)
 			continue;
-		double d = draw_exponential(&targets[i], (double)room);
+		double weight =
+			targets[i].move_weight > 0 ? targets[i].move_weight : 1;
+		double d = draw_exponential(&targets[i], (double)room * weight);
 		if (g == group && d >= best)
 			continue;
 		result = PLACE_OK;
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -430,9 +430,11 @@
 		if (now - r->arrived_us >= r->startup_wait_us)
 			request_refuse(r, -MW_EAGAIN, "not ready", now);
 	request_place_waiting(f, now);
-	list_for_each_entry_safe (r, tmp, &f->requests, node)
+	list_for_each_entry_safe (r, tmp, &f->requests, node) {
+		relay_tick(r, now);
 		if (r->move.state != MOVE_NONE)
 			move_tick(r, now);
+	}
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
 		if (!has_waited_too_long(r, now))
 			continue;
