warmup: Open the slots of cold endpoints for 1 s

A slot was open for 0.2 s in 6.2 s (70 hosts), so a host with a request found few endpoints open in the second or two for which they are cold, and endpoints that had replaced reclaimed ones stayed nearly empty.

Open each slot for 1 s; the period grows to 10.4 s, as the bound in any second stays the same.

--- a/src/policy/warmup.h
+++ b/src/policy/warmup.h
@@ -44,8 +44,9 @@
  * that have lost control dial it at least once a second. */
 #define WARMUP_SETTLE_US INT64_C(3000000)
 
-/* Ten ticks of a host with a queue. */
-#define WARMUP_OPEN_US INT64_C(200000)
+/* A shorter slot is rarely open when a host has a request; with a longer one
+ * the hosts' requests in any second leave more of the bound unused. */
+#define WARMUP_OPEN_US INT64_C(1000000)
 
 /*
  * Time from an announcement to its arrival at the hosts; an announcement that
