--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -379,6 +379,7 @@
 	list_init(&e->requests);
 	list_init(&e->pending_marks);
 	list_init(&e->calls);
+	list_init(&e->probes);
 	list_init(&e->forwarded_calls);
 	e->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
@@ -419,6 +420,7 @@
 		peer_net_free(e->peers);
 	session_stop(e);
 	marks_release(e);
+	view_stop(e);
 	fetcher_free(e->fetcher);
 	membudget_release(&e->memory);
 	buf_release(&e->chunk);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -134,6 +134,7 @@
 
 	struct list requests; /* struct request */
 	struct list calls;    /* struct call */
+	struct list probes;   /* view.c: probes of endpoints that are open */
 	uint64_t attempts;    /* newest attempt number of a service call */
 	size_t open_requests; /* requests and calls */
 	struct buf chunk;     /* event being formatted; empty between events */
@@ -312,6 +313,8 @@
 			   uint64_t incarnation, int64_t now);
 void view_apply_cache_events(struct entry *e, const char *body, size_t len);
 void view_tick(struct entry *e, int64_t now);
+/* Ends the probes of endpoints, before the fetcher is freed. */
+void view_stop(struct entry *e);
 /* Decides anew which of the endpoints at an address holds it. */
 void view_settle_address(struct entry *e, const char *addr, int64_t now);
 /* Asks the servers of contested addresses where a question is due. */
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -413,12 +413,21 @@
 /* ---- probes ---- */
 
 struct probe {
+	struct list node; /* entry.probes */
 	struct entry *entry;
+	struct fetch *fetch;
 	char id[EP_ID_CHARS + 1];
 	struct buf body;
 	int status;
 };
 
+static void probe_free(struct probe *p)
+{
+	list_del(&p->node);
+	buf_release(&p->body);
+	g_free(p);
+}
+
 static void on_probe_headers(void *arg, struct fetch *f, int status)
 {
 	struct probe *p = arg;
@@ -452,8 +461,7 @@
 		view_update(p->entry, &info, true, clock_mono_us());
 		ep_info_release(&info);
 	}
-	buf_release(&p->body);
-	g_free(p);
+	probe_free(p);
 }
 
 static void send_probe(struct endpoint *ep, int64_t now)
@@ -476,10 +484,21 @@
 				  .body_max = PROBE_BODY_MAX_BYTES};
 	ep->probing = true;
 	ep->probed_us = now;
-	fetch_start(e->fetcher, &spec, &ops, p);
+	list_add_tail(&e->probes, &p->node);
+	p->fetch = fetch_start(e->fetcher, &spec, &ops, p);
 	buf_release(&req.body);
 }
 
+void view_stop(struct entry *e)
+{
+	struct probe *p, *tmp;
+
+	list_for_each_entry_safe (p, tmp, &e->probes, node) {
+		fetch_cancel(p->fetch);
+		probe_free(p);
+	}
+}
+
 /* Probes endpoints that are not eligible for work by their reports. */
 void view_tick(struct entry *e, int64_t now)
 {
