daemon: Block SIGTERM and SIGINT until their handlers are set

Block both signals from the start of main() until the event loop is about to run; one that has come is handled then.

earlyhup.sh passes in both builds; it passed alone before, too.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -18,11 +18,26 @@
 /* Blocks of this size are mapped one by one. */
 #define MAPPED_MIN_BYTES (64 << 10)
 
+/*
+ * Signals that stop the process are blocked until their handlers are set:
+ * before, they would end it as if it had failed.
+ */
+static void set_stop_signals(int how)
+{
+	sigset_t stop;
+
+	sigemptyset(&stop);
+	sigaddset(&stop, SIGTERM);
+	sigaddset(&stop, SIGINT);
+	sigprocmask(how, &stop, NULL);
+}
+
 static int run_entry(struct conf *conf, struct ev_loop *loop)
 {
 	struct entry *e;
 	int r = entry_new(conf, loop, &e);
 
+	set_stop_signals(SIG_UNBLOCK);
 	if (r == 0)
 		ev_run(loop, 0);
 	entry_free(e);
@@ -35,6 +50,7 @@
 	struct fwd *f;
 	int r = fwd_new(conf, loop, iface, &f);
 
+	set_stop_signals(SIG_UNBLOCK);
 	if (r == 0)
 		ev_run(loop, 0);
 	fwd_free(f);
@@ -47,6 +63,7 @@
 	struct ctl *c;
 	int r = ctl_new(conf, loop, iface, &c);
 
+	set_stop_signals(SIG_UNBLOCK);
 	if (r == 0)
 		r = ctl_run(c);
 	ctl_free(c);
@@ -97,6 +114,7 @@
 
 	/* Until a handler is set; the settings are being read anyway. */
 	signal(SIGHUP, SIG_IGN);
+	set_stop_signals(SIG_BLOCK);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
 		fprintf(stderr, "mustardwalld: a library failed to start\n");
 		return EXIT_FAILURE;
