--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -454,7 +454,7 @@
 	getsockname(fd, (struct sockaddr *)&sin, &len);
 	for (size_t i = 0; i < 3; i++) {
 		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(fill[i], (struct sockaddr *)&sin, sizeof(sin));
+		(void)connect(fill[i], (struct sockaddr *)&sin, sizeof(sin));
 	}
 	snprintf(addr, sizeof(addr), "127.0.0.1:%u", ntohs(sin.sin_port));
 	ck_assert_int_eq(peer_dial(a.net, addr), 0);
