move: Delay events from the order of the copy on

The delay now grows by 40 % of the time while the copy is made, so that it is mostly complete when the target is asked.

--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -26,9 +26,10 @@
  *
  * If the service states the figures of its engines' copies (kv_token_bytes,
  * link_mbps), move_order.c decides when each copy is ordered and when the
- * target is asked, and the events of the source are delayed a little meanwhile:
- * the target first produces again what the source produced while it waited
- * there. Without these figures all copies are ordered at once.
+ * target is asked, and the events of the source are delayed a little from the
+ * order of the copy on: the target first produces again what the source
+ * produced while it waited there. Without these figures all copies are ordered
+ * at once.
  *
  * Copies are not kept up to date from the start of each generation: they would
  * take as much memory as the generations themselves, and moves would find no
@@ -300,11 +301,15 @@
 
 int64_t move_event_delay(const struct request *r, int64_t now)
 {
-	if (r->move.state != MOVE_RESUME || !runs_at_source(r) ||
-	    !is_planned(r))
+	bool asked = r->move.state == MOVE_RESUME;
+
+	if ((!asked && r->move.state != MOVE_COPY &&
+	     r->move.state != MOVE_READY) ||
+	    !runs_at_source(r) || !is_planned(r))
 		return 0;
-	return move_event_delay_us(now - r->move.resume_us,
-				   r->route->target_gap_us);
+	return move_event_delay_us(
+		(asked ? r->move.resume_us : now) - r->move.copy_us,
+		asked ? now - r->move.resume_us : 0, r->route->target_gap_us);
 }
 
 static void cancel_target(struct request *r, int64_t now)
@@ -474,6 +479,7 @@
 	}
 	r->move.copy_attempts++;
 	r->move.second_copy = false;
+	r->move.copy_us = now;
 	send_copy_order(r);
 }
 
--- a/src/forward/move_order.c
+++ b/src/forward/move_order.c
@@ -35,6 +35,12 @@
  * source is stopped, after 250 ms. */
 #define EVENT_DELAY_PERCENT 72
 
+/* Before that it grows by this part of the time since the copy was ordered.  A
+ * target whose first event comes after 100 ms needs another 250 ms to catch up
+ * while it processes prompts, so a delay of 72 ms leaves a pause above the
+ * limit.  At 40 percent events that come every 100 ms are 167 ms apart. */
+#define EVENT_ADVANCE_PERCENT 40
+
 bool move_links_known(const struct move_links *l)
 {
 	return l->token_bytes && l->mbps;
@@ -124,9 +130,12 @@
 	return 1 / (1 + wait * wait);
 }
 
-int64_t move_event_delay_us(int64_t since_resume_us, int64_t target_gap_us)
+int64_t move_event_delay_us(int64_t copying_us, int64_t since_resume_us,
+			    int64_t target_gap_us)
 {
 	int64_t max = MIN(target_gap_us, EVENT_DELAY_MAX_US);
+	int64_t delay_us = copying_us * EVENT_ADVANCE_PERCENT / 100 +
+			   since_resume_us * EVENT_DELAY_PERCENT / 100;
 
-	return CLAMP(since_resume_us * EVENT_DELAY_PERCENT / 100, 0, max);
+	return CLAMP(delay_us, 0, max);
 }
--- a/src/forward/move_order.h
+++ b/src/forward/move_order.h
@@ -94,10 +94,13 @@
 double move_target_weight(uint64_t prefill_tokens);
 
 /*
- * Delay of an event that arrives from the source this long after the request
- * was sent to the target.  The events are spread over the time until the target
- * has caught up.  target_gap_us is the route's; 0: events are not delayed.
+ * Delay of an event that arrives from the source copying_us after the copy was
+ * ordered, and since_resume_us after the request was sent to the target (0: not
+ * sent yet; copying_us then no longer grows).  The events are spread over the
+ * time until the target has caught up.  target_gap_us is the route's; 0: events
+ * are not delayed.
  */
-int64_t move_event_delay_us(int64_t since_resume_us, int64_t target_gap_us);
+int64_t move_event_delay_us(int64_t copying_us, int64_t since_resume_us,
+			    int64_t target_gap_us);
 
 #endif
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -73,6 +73,7 @@
 	uint64_t copied_events;	    /* passed on when the copy was ordered */
 	bool second_copy;	    /* a short one was ordered */
 	int64_t start_us;
+	int64_t copy_us;   /* when the copy was ordered, the first one if two */
 	int64_t resume_us; /* when the target was asked */
 	int64_t due_us; /* when MOVE_WAIT or MOVE_RESUME takes its next step */
 };
--- a/tests/test_move_order.c
+++ b/tests/test_move_order.c
@@ -55,10 +55,16 @@
  * events could have been spread over it, and against late events. */
 START_TEST(test_event_delay)
 {
-	ck_assert_int_eq(move_event_delay_us(0, 180000), 0);
-	ck_assert_int_eq(move_event_delay_us(100000, 180000), 72000);
-	ck_assert_int_eq(move_event_delay_us(900000, 180000), 180000);
-	ck_assert_int_eq(move_event_delay_us(900000, 0), 0);
+	ck_assert_int_eq(move_event_delay_us(0, 0, 180000), 0);
+	ck_assert_int_eq(move_event_delay_us(0, 100000, 180000), 72000);
+	ck_assert_int_eq(move_event_delay_us(0, 900000, 180000), 180000);
+	ck_assert_int_eq(move_event_delay_us(0, 900000, 0), 0);
+	/* The copy of a large generation takes long enough for the whole delay
+	 * before the target is asked. */
+	ck_assert_int_eq(move_event_delay_us(200000, 0, 180000), 80000);
+	ck_assert_int_eq(move_event_delay_us(200000, 100000, 180000), 152000);
+	ck_assert_int_eq(move_event_delay_us(600000, 0, 180000), 180000);
+	ck_assert_int_eq(move_event_delay_us(600000, 900000, 0), 0);
 }
 END_TEST
 
@@ -293,7 +299,8 @@
 	g->pause_ms = (int64_t)wait;
 	if (m->planned)
 		g->pause_ms -=
-			move_event_delay_us(MAX(overlap, 0) * 1000, 180000) /
+			move_event_delay_us((t - g->order_ms) * 1000,
+					    MAX(overlap, 0) * 1000, 180000) /
 			1000;
 }
 
