spread: Expect the arrivals of all data centres where they see the least cost

A host divided the arrivals that it does not see among the data centres by their endpoints, and chose the data centre with the lowest level. An endpoint that was cheaper than others by more than the cost of the distance attracted the hosts of all data centres at once: most preemptions followed two to five placements at one endpoint within 50 ms. The hosts of each data centre are now taken to fill the endpoints up as they see them. Endpoints of the same region have the distance 1, which was never used.

test_groups expected all requests of a host to leave for a data centre that is cheaper by 50 ms, however many arrivals are expected; it now expects as many as fill the difference, and still none or all at the ends.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -19,9 +19,14 @@
 /* A request is urgent if its route's target latency is less than this. */
 #define URGENT_TARGET_US (2 * USEC_PER_SEC)
 
-static unsigned int distance(const char *dc, const struct fwd_endpoint *ep)
+static unsigned int distance(const char *dc, const char *region,
+			     const struct fwd_endpoint *ep,
+			     const struct conf *conf)
 {
-	return strcmp(ep->dc, dc) ? 2 : 0;
+	if (!strcmp(ep->dc, dc))
+		return 0;
+	const char *other = region ? conf_region(conf, ep->dc) : NULL;
+	return other && !strcmp(other, region) ? 1 : 2;
 }
 
 /* Endpoints of the request's service; targets[i] describes endpoints[i]. */
@@ -145,6 +150,7 @@
 	struct candidates c = {.targets = g_new0(struct place_target, max + 1),
 			       .endpoints =
 				       g_new0(struct fwd_endpoint *, max + 1)};
+	const char *near_region = conf_region(f->conf, near_dc);
 	GHashTableIter iter;
 	struct fwd_endpoint *ep;
 
@@ -156,7 +162,7 @@
 		c.targets[c.n++] = (struct place_target){
 			.usable = may_send(r, ep, now),
 			.excluded = !strcmp(ep->id, except_id),
-			.distance = distance(near_dc, ep),
+			.distance = distance(near_dc, near_region, ep, f->conf),
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
 			.open_requests = ep->open_here + ep->open_elsewhere,
@@ -169,6 +175,9 @@
 					  ep->prefill_elsewhere_tokens,
 			.tie_breaker = g_rand_int(f->rand),
 			.group = group_of(&c, ep->dc),
+			.region = ep->region == RESIDENCY_UNKNOWN
+					  ? 0
+					  : (unsigned int)ep->region + 1,
 		};
 	}
 	apply_limits(&c, r, now);
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -1,5 +1,6 @@
 #include "forward/place.h"
 
+#include <limits.h>
 #include <math.h>
 #include <glib.h>
 
@@ -45,7 +46,8 @@
 
 /*
  * Cost by distance, in microseconds of delay: the round trip (2 and 24 ms) and
- * the price of the bytes, which for a long answer is about as much again.
+ * the price of the bytes, which for a long answer is about as much again.  By
+ * distance: same data centre, same region, other region.
  */
 static const int64_t distance_cost_us[] = {0, 6000, 40000};
 
@@ -119,10 +121,11 @@
 	return s;
 }
 
+/* The cost without that of the distance. */
 static int64_t placement_cost(const struct place_target *t,
 			      const struct place_request *request)
 {
-	int64_t us = distance_cost_us[t->distance < 2 ? t->distance : 2];
+	int64_t us = 0;
 
 	if (!request->generation) {
 		/* Requests beyond the slots wait until a slot is free. */
@@ -161,6 +164,54 @@
 	return arrivals_per_s * (double)lag_us / G_USEC_PER_SEC + queued;
 }
 
+/* Data centres, as the targets name them. */
+struct place_groups {
+	unsigned int own; /* the host's */
+	unsigned int own_region;
+	unsigned int region[SPREAD_GROUPS_MAX + 1];
+};
+
+static int64_t group_distance_us(const void *arg, unsigned int from,
+				 unsigned int to)
+{
+	const struct place_groups *p = arg;
+
+	if (from == to)
+		return distance_cost_us[0];
+	return distance_cost_us
+		[p->region[from] && p->region[from] == p->region[to] ? 1 : 2];
+}
+
+/*
+ * The data centres of the service's endpoints, whether or not these are usable.
+ * The host's has a number of its own if it has no endpoint.
+ */
+static struct spread_groups find_groups(const struct place_target *targets,
+					size_t n, struct place_groups *p)
+{
+	struct spread_groups groups = {.distance_us = group_distance_us,
+				       .arg = p};
+
+	*p = (struct place_groups){.own = UINT_MAX};
+	for (size_t i = 0; i < n; i++) {
+		const struct place_target *t = &targets[i];
+		unsigned int g = MIN(t->group, SPREAD_GROUPS_MAX - 1);
+
+		groups.n = MAX(groups.n, g + 1);
+		p->region[g] = t->region;
+		if (!t->distance)
+			p->own = g;
+		if (t->distance == 1)
+			p->own_region = t->region;
+	}
+	if (p->own == UINT_MAX) {
+		p->own = groups.n++;
+		p->region[p->own] = p->own_region;
+	}
+	groups.own = p->own;
+	return groups;
+}
+
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_request *request,
 			       size_t *index)
@@ -184,13 +235,16 @@
 		}
 		items[n_items++] = (struct spread_item){
 			.cost_us = placement_cost(t, request),
+			.distance_us = distance_cost_us[MIN(t->distance, 2)],
 			.group = MIN(t->group, SPREAD_GROUPS_MAX - 1),
 			.tie_breaker = t->tie_breaker,
 			.index = i};
 	}
 	if (!n_items)
 		return result;
-	*index = spread_choose(items, n_items, request->unseen,
+	struct place_groups p;
+	struct spread_groups groups = find_groups(targets, n, &p);
+	*index = spread_choose(items, n_items, &groups, request->unseen,
 			       arrival_cost(&targets[items[0].index], request),
 			       request->random);
 	return PLACE_OK;
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -38,6 +38,7 @@
 	unsigned int engine_queue; /* requests in the endpoint's own queue */
 	uint32_t tie_breaker;	   /* random; other for each host and request */
 	unsigned int group;	   /* data centre, see spread.h */
+	unsigned int region;	   /* of the data centre, 0: unknown */
 };
 
 struct place_request {
--- a/src/forward/spread.h
+++ b/src/forward/spread.h
@@ -17,26 +17,40 @@
  * arrivals like that.  Without unseen arrivals this is the endpoint with the
  * least load.
  *
- * Hosts prefer endpoints of their own data centre, so arrivals are taken for
- * spread over the data centres like the endpoints, and the data centre with the
- * lowest level is chosen first.
+ * Hosts see an endpoint of their own data centre at a lower cost than others
+ * do, so each data centre's hosts are taken to fill the endpoints up as they
+ * see them: an endpoint that all see as the cheapest gets a part of the
+ * arrivals of every data centre, and not all of them.
  */
 
 struct spread_item {
-	int64_t cost_us;    /* by the load that is seen, and by distance */
-	unsigned int group; /* data centre, below SPREAD_GROUPS_MAX */
+	int64_t cost_us;     /* by the load that is seen */
+	int64_t distance_us; /* cost of the distance to this host */
+	unsigned int group;  /* data centre, below SPREAD_GROUPS_MAX */
 	uint32_t tie_breaker;
 	size_t index; /* the caller's */
 };
 
 #define SPREAD_GROUPS_MAX 32
 
+/* The data centres that requests come from, each with as many of them. */
+struct spread_groups {
+	unsigned int n;	  /* at least 1 and above the group of each item */
+	unsigned int own; /* of the host that chooses */
+	/* Cost of an endpoint of one group for hosts of another one. */
+	int64_t (*distance_us)(const void *arg, unsigned int from,
+			       unsigned int to);
+	const void *arg;
+};
+
 /*
  * Returns the index of an item; n is at least 1.  Each arrival adds
- * arrival_cost_us to the cost of its item; `unseen` of them are expected.
- * `random` is uniform between 0 and 1.  Sorts the items.
+ * arrival_cost_us to the cost of its item; `unseen` of them are expected from
+ * all groups together.  `random` is uniform between 0 and 1.  Sorts the items
+ * and changes their costs.
  */
-size_t spread_choose(struct spread_item *items, size_t n, double unseen,
+size_t spread_choose(struct spread_item *items, size_t n,
+		     const struct spread_groups *groups, double unseen,
 		     int64_t arrival_cost_us, double random);
 
 #endif
