leave_dc: Decide by cost whether a request leaves its data centre

Distances had fixed costs (6 ms in the region, 40 ms elsewhere) whatever a request exchanges, and nothing told an operator how much left and why.

test_leave_dc plays 1, 10, 70 and 300 hosts with seven loads against fixed costs, overflow, equal shares and two choices, and checks that the share returns. test_place, test_spread and test_leave_dc pass.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "forward/leave.h"
 #include "forward/move_order.h"
 #include "forward/place.h"
 #include "forward/regions.h"
@@ -19,16 +20,6 @@
 /* A request is urgent if its route's target latency is less than this. */
 #define URGENT_TARGET_US (2 * USEC_PER_SEC)
 
-static unsigned int distance(const char *dc, const char *region,
-			     const struct fwd_endpoint *ep,
-			     const struct conf *conf)
-{
-	if (!strcmp(ep->dc, dc))
-		return 0;
-	const char *other = region ? conf_region(conf, ep->dc) : NULL;
-	return other && !strcmp(other, region) ? 1 : 2;
-}
-
 /* Endpoints of the request's service; targets[i] describes endpoints[i]. */
 struct candidates {
 	struct place_target *targets;
@@ -150,7 +141,6 @@
 	struct candidates c = {.targets = g_new0(struct place_target, max + 1),
 			       .endpoints =
 				       g_new0(struct fwd_endpoint *, max + 1)};
-	const char *near_region = conf_region(f->conf, near_dc);
 	GHashTableIter iter;
 	struct fwd_endpoint *ep;
 
@@ -162,7 +152,7 @@
 		c.targets[c.n++] = (struct place_target){
 			.usable = may_send(r, ep, now),
 			.excluded = !strcmp(ep->id, except_id),
-			.distance = distance(near_dc, near_region, ep, f->conf),
+			.distance = leave_distance(f, near_dc, ep),
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
 			.open_requests = ep->open_here + ep->open_elsewhere,
@@ -385,6 +375,28 @@
 			     r->need_tokens);
 }
 
+/*
+ * Keeps the last room of each other data centre for its own requests.  Those of
+ * the service are taken to arrive evenly over the data centres.  What waits in
+ * queues is not counted, as its hosts would then keep each other from room that
+ * is free.
+ */
+static void keep_last_room(struct candidates *c, struct request *r, int64_t now)
+{
+	double unseen = count_unseen_of(r, c, false, now);
+	uint64_t free_tokens[SPREAD_GROUPS_MAX] = {0};
+
+	for (size_t i = 0; i < c->n; i++)
+		free_tokens[c->targets[i].group] +=
+			place_sum_capacity(&c->targets[i], 1).room_tokens;
+	for (size_t i = 0; i < c->n; i++)
+		c->targets[i].kept =
+			c->targets[i].distance &&
+			!leave_has_room(free_tokens[c->targets[i].group],
+					unseen / MAX(c->n_groups, 1u),
+					r->need_tokens);
+}
+
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
 					     const char *except_id,
 					     const char *near_dc,
@@ -397,10 +409,20 @@
 					  .random =
 						  g_rand_double(r->fwd->rand)};
 	struct candidates c = gather_candidates(r, except_id, near_dc, now);
+	int64_t cost_us[LEAVE_CLASSES];
 	size_t index = 0;
 
 	placement.margin_tokens = margin_tokens(r, &c, now);
 	placement.unseen = count_unseen(r, &c, now);
+	if (leave_costs(r, cost_us, now)) {
+		placement.distance_us = cost_us;
+		/* Urgent generations have room of their own at each endpoint
+		 * (place.c), and would be refused rather than wait. */
+		if (r->generation && !placement.urgent &&
+		    r->move.state == MOVE_NONE &&
+		    now - r->arrived_us < LEAVE_KEPT_US)
+			keep_last_room(&c, r, now);
+	}
 	if (r->move.state != MOVE_NONE) {
 		reserve_for_other_sources(&c, r);
 		weigh_by_prefill(&c, r);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -22,6 +22,7 @@
 #include "net/peer.h"
 #include "policy/est.h"
 #include "policy/evacuation.h"
+#include "policy/leave_dc.h"
 #include "policy/length.h"
 #include "policy/owner.h"
 #include "policy/pause.h"
@@ -44,6 +45,7 @@
  *   queue.c         requests that wait for an endpoint, and their placement
  *   demand.c        queued work that competes for the endpoints of some regions
  *   choose.c        choice of an endpoint for a request or a KV copy
+ *   leave.c         requests that leave the host's data centre
  *   regions.c       regions that a request may be sent to
  *   relay.c         streams of events
  *   move.c          moves of generations away from endpoints that leave
@@ -128,6 +130,13 @@
 	struct demands queued_elsewhere; /* in the queues of other hosts */
 	struct rate_window arrivals;	 /* requests of callers */
 	unsigned int arrivals_elsewhere; /* lately, on other hosts */
+	/* Destinations of requests, the host's own data centre included;
+	 * further ones are not logged. */
+	struct leave_dest {
+		char dc[64];
+		struct leave_share share;
+	} leave[CONF_DC_REGIONS_MAX];
+	size_t n_leave;
 	/* endpoints_warmup_pace(), for these limits and this number of hosts */
 	struct warmup_limits warmup_limits;
 	unsigned int warmup_hosts;
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -47,7 +47,8 @@
 /*
  * Cost by distance, in microseconds of delay: the round trip (2 and 24 ms) and
  * the price of the bytes, which for a long answer is about as much again.  By
- * distance: same data centre, same region, other region.
+ * distance: same data centre, same region, other region.  With --leave-dc they
+ * are computed for each request (policy/leave_dc.h).
  */
 static const int64_t distance_cost_us[] = {0, 6000, 40000};
 
@@ -69,7 +70,7 @@
 	unsigned int slots = t->slots;
 	uint64_t memory = t->memory_tokens;
 
-	if (t->rate_limited)
+	if (t->rate_limited || t->kept)
 		return false;
 	if (!request->generation)
 		return true;
@@ -166,7 +167,8 @@
 
 /* Data centres, as the targets name them. */
 struct place_groups {
-	unsigned int own; /* the host's */
+	const int64_t *distance_us; /* by distance */
+	unsigned int own;	    /* the host's */
 	unsigned int own_region;
 	unsigned int region[SPREAD_GROUPS_MAX + 1];
 };
@@ -187,12 +189,13 @@
  * The host's has a number of its own if it has no endpoint.
  */
 static struct spread_groups find_groups(const struct place_target *targets,
-					size_t n, struct place_groups *p)
+					size_t n, const int64_t *distance_us,
+					struct place_groups *p)
 {
 	struct spread_groups groups = {.distance_us = group_distance_us,
 				       .arg = p};
 
-	*p = (struct place_groups){.own = UINT_MAX};
+	*p = (struct place_groups){.own = UINT_MAX, .distance_us = distance_us};
 	for (size_t i = 0; i < n; i++) {
 		const struct place_target *t = &targets[i];
 		unsigned int g = MIN(t->group, SPREAD_GROUPS_MAX - 1);
@@ -218,6 +221,8 @@
 {
 	enum place_result result = PLACE_NO_ENDPOINT;
 	g_autofree struct spread_item *items = g_new(struct spread_item, n + 1);
+	const int64_t *distance_us =
+		request->distance_us ? request->distance_us : distance_cost_us;
 	size_t n_items = 0;
 	bool any_warm = false;
 
@@ -235,7 +240,7 @@
 		}
 		items[n_items++] = (struct spread_item){
 			.cost_us = placement_cost(t, request),
-			.distance_us = distance_cost_us[MIN(t->distance, 2)],
+			.distance_us = distance_us[MIN(t->distance, 2)],
 			.group = MIN(t->group, SPREAD_GROUPS_MAX - 1),
 			.tie_breaker = t->tie_breaker,
 			.index = i};
@@ -243,7 +248,7 @@
 	if (!n_items)
 		return result;
 	struct place_groups p;
-	struct spread_groups groups = find_groups(targets, n, &p);
+	struct spread_groups groups = find_groups(targets, n, distance_us, &p);
 	*index = spread_choose(items, n_items, &groups, request->unseen,
 			       arrival_cost(&targets[items[0].index], request),
 			       request->random);
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -25,6 +25,7 @@
 	bool rate_limited;  /* takes no further request at present */
 	bool cold;	    /* used only if no warm one has room */
 	bool reserved;	    /* for moves from another endpoint that leaves */
+	bool kept;	    /* its room is for requests of its data centre */
 	double move_weight; /* factor of its share of the moves; 0: not stated,
 			       which is 1 */
 	unsigned int
@@ -50,7 +51,8 @@
 	double unseen; /* requests that other hosts place at the same time */
 	uint64_t margin_tokens; /* memory of each target that is kept free for
 				   those */
-	double random;		/* uniform between 0 and 1 */
+	const int64_t *distance_us; /* cost by distance; NULL: the fixed one */
+	double random;		    /* uniform between 0 and 1 */
 };
 
 enum place_result {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "forward/leave.h"
 #include "forward/regions.h"
 #include "forward/startup.h"
 #include "policy/path.h"
@@ -641,6 +642,7 @@
 	r->state = REQUEST_SENT;
 	counter_observe(C_QUEUE_WAIT_US, "forwarded", now - r->arrived_us);
 	request_attach(r, ep);
+	leave_record(r, ep, now);
 	r->fetch = request_start_attempt(r, ep, NULL, now);
 }
 
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -66,6 +66,11 @@
 	"Bytes of bodies exchanged with endpoints of other data centres.")
 COUNTER(SPILL_REQUESTS, "mustardwall_spill_requests_total", "requests", "rank",
 	"Generations that were sent to another data centre.")
+COUNTER(DC_REQUESTS, "mustardwall_dc_requests_total", "requests", "distance",
+	"Forwarded requests by the distance of their endpoint: same_dc, "
+	"same_region or other_region.")
+COUNTER(DC_BYTES, "mustardwall_dc_bytes_total", "bytes", "distance",
+	"Bytes that these requests are expected to exchange.")
 GAUGE(SPILL_LENT, "mustardwall_spill_lent_blocks", "blocks", NULL,
       "Blocks that this hub has lent to hubs of other data centres.")
 GAUGE(SPILL_BORROWED, "mustardwall_spill_borrowed_blocks", "blocks", NULL,
