place: Give slow endpoints work in proportion to their speed

Endpoints of one service differ in speed by 3, and all of them got the same figures, so slow ones got nearly as much work and the streams there were late.

A stream with a target gap goes to an endpoint that would exceed it only if no other one has room. No caller sets the factor yet.

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -63,6 +63,18 @@
  * time that the endpoint works on it. */
 #define CALL_COST_US 10000
 
+static double pace_of(const struct place_target *t)
+{
+	return t->pace > 0 ? t->pace : 1;
+}
+
+/* The tokens that take as long there as `tokens` do at an endpoint of ordinary
+ * speed. */
+static uint64_t prefill_max(const struct place_target *t, uint64_t tokens)
+{
+	return (uint64_t)((double)tokens / pace_of(t));
+}
+
 static bool has_room(const struct place_target *t,
 		     const struct place_request *request)
 {
@@ -80,10 +92,11 @@
 	if (t->open_requests >= slots ||
 	    (!request->urgent && t->engine_queue >= ENGINE_QUEUE_MAX))
 		return false;
-	uint64_t prefill_max = request->urgent ? PREFILL_MAX_TOKENS
-					       : PREFILL_DEFERRABLE_MAX_TOKENS;
+	uint64_t max =
+		prefill_max(t, request->urgent ? PREFILL_MAX_TOKENS
+					       : PREFILL_DEFERRABLE_MAX_TOKENS);
 	if (t->prefill_tokens &&
-	    t->prefill_tokens + request->prompt_tokens > prefill_max)
+	    t->prefill_tokens + request->prompt_tokens > max)
 		return false;
 	memory = MIN(memory, t->memory_tokens - MIN(t->memory_tokens,
 						    request->margin_tokens));
@@ -101,6 +114,7 @@
 		const struct place_target *t = &targets[i];
 		uint64_t memory = t->memory_tokens * DEFERRABLE_PERCENT / 100;
 		unsigned int slots = t->slots * DEFERRABLE_PERCENT / 100;
+		uint64_t max = prefill_max(t, PREFILL_DEFERRABLE_MAX_TOKENS);
 
 		if (!t->usable)
 			continue;
@@ -111,12 +125,11 @@
 			s.full++;
 		else if (t->engine_queue >= ENGINE_QUEUE_MAX)
 			s.queueing++;
-		else if (t->prefill_tokens >= PREFILL_DEFERRABLE_MAX_TOKENS)
+		else if (t->prefill_tokens >= max)
 			s.prefilling++;
 		else
 			s.room_tokens += MIN(memory - t->needed_tokens,
-					     PREFILL_DEFERRABLE_MAX_TOKENS -
-						     t->prefill_tokens);
+					     max - t->prefill_tokens);
 	}
 	return s;
 }
@@ -138,13 +151,14 @@
 	us += (int64_t)t->prefill_tokens * 1000 / PREFILL_TOKENS_PER_MS;
 	us += (int64_t)t->open_requests * GENERATION_COST_US;
 	us += (int64_t)t->engine_queue * ENGINE_QUEUE_COST_US;
+	us = (int64_t)((double)us * pace_of(t));
 	/* Up to 0.1 s: the fuller the memory, the likelier is preemption. */
 	if (t->memory_tokens)
 		us += (int64_t)(t->needed_tokens * 100000 / t->memory_tokens);
 	return us;
 }
 
-/* What a request like this one adds to the cost of an endpoint. */
+/* What a request like this one adds to the cost of an endpoint of pace 1. */
 static int64_t arrival_cost(const struct place_target *t,
 			    const struct place_request *request)
 {
@@ -212,6 +226,12 @@
 	return groups;
 }
 
+/* Targets of a higher tier are used only if those below have no room. */
+static unsigned int tier_of(const struct place_target *t)
+{
+	return (t->cold ? 2 : 0) + (t->late ? 1 : 0);
+}
+
 enum place_result place_choose(const struct place_target *targets, size_t n,
 			       const struct place_request *request,
 			       size_t *index)
@@ -219,7 +239,7 @@
 	enum place_result result = PLACE_NO_ENDPOINT;
 	g_autofree struct spread_item *items = g_new(struct spread_item, n + 1);
 	size_t n_items = 0;
-	bool any_warm = false;
+	unsigned int tier = UINT_MAX;
 
 	for (size_t i = 0; i < n; i++) {
 		const struct place_target *t = &targets[i];
@@ -227,14 +247,15 @@
 		if (!t->usable || t->excluded)
 			continue;
 		result = PLACE_NO_ROOM;
-		if (!has_room(t, request) || (t->cold && any_warm))
+		if (!has_room(t, request) || tier_of(t) > tier)
 			continue;
-		if (!t->cold && !any_warm) {
-			any_warm = true;
+		if (tier_of(t) < tier) {
+			tier = tier_of(t);
 			n_items = 0;
 		}
 		items[n_items++] = (struct spread_item){
 			.cost_us = placement_cost(t, request),
+			.pace = request->generation ? pace_of(t) : 1,
 			.distance_us = distance_cost_us[MIN(t->distance, 2)],
 			.group = MIN(t->group, SPREAD_GROUPS_MAX - 1),
 			.tie_breaker = t->tie_breaker,
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -24,6 +24,8 @@
 	bool excluded;	    /* the request was there already */
 	bool rate_limited;  /* takes no further request at present */
 	bool cold;	    /* used only if no warm one has room */
+	bool late;	    /* too slow for the request's target gap; used only
+			       if no other one has room */
 	bool reserved;	    /* for moves from another endpoint that leaves */
 	double move_weight; /* factor of its share of the moves; 0: not stated,
 			       which is 1 */
@@ -36,9 +38,10 @@
 	uint64_t needed_tokens;	   /* memory needed when its generations end */
 	uint64_t prefill_tokens;   /* prompt tokens not processed yet */
 	unsigned int engine_queue; /* requests in the endpoint's own queue */
-	uint32_t tie_breaker;	   /* random; other for each host and request */
-	unsigned int group;	   /* data centre, see spread.h */
-	unsigned int region;	   /* of the data centre, 0: unknown */
+	double pace; /* see policy/pace.h, above 1 is slow; 0: not known, 1 */
+	uint32_t tie_breaker; /* random; other for each host and request */
+	unsigned int group;   /* data centre, see spread.h */
+	unsigned int region;  /* of the data centre, 0: unknown */
 };
 
 struct place_request {
--- a/src/forward/spread.c
+++ b/src/forward/spread.c
@@ -27,20 +27,22 @@
 static double fill_level(const struct spread_item *items, size_t n,
 			 double work_us)
 {
-	double sum_us = 0;
+	double sum_us = 0, speed = 0;
 	size_t k = 0;
 
 	/* The level of the first k items, until it is below the next one. */
 	do {
-		sum_us += (double)items[k++].cost_us;
+		sum_us += (double)items[k].cost_us / items[k].pace;
+		speed += 1 / items[k++].pace;
 	} while (k < n &&
-		 (sum_us + work_us) / (double)k > (double)items[k].cost_us);
-	return (sum_us + work_us) / (double)k;
+		 (sum_us + work_us) / speed > (double)items[k].cost_us);
+	return (sum_us + work_us) / speed;
 }
 
+/* What arrivals there would cost at pace 1. */
 static double room_below_level(const struct spread_item *item, double level_us)
 {
-	return MAX(level_us - (double)item->cost_us, 0);
+	return MAX(level_us - (double)item->cost_us, 0) / item->pace;
 }
 
 static size_t draw_item(const struct spread_item *items, size_t n,
@@ -95,13 +97,15 @@
 				groups->distance_us(groups->arg, g, to);
 	int64_t steps =
 		CLAMP(work_us / FILL_STEP_US, FILL_STEPS_MIN, FILL_STEPS_MAX);
+	int64_t step_us = work_us / steps;
 	for (int64_t step = 0; step < steps; step++)
 		for (unsigned int g = 0; g < groups->n; g++) {
 			size_t i = find_cheapest(items, n, filled_us,
 						 distance_us[g]);
-			filled_us[i] += work_us / steps;
+			int64_t us = (int64_t)((double)step_us * items[i].pace);
+			filled_us[i] += us;
 			if (g == groups->own)
-				own_us[i] += work_us / steps;
+				own_us[i] += us;
 		}
 	for (size_t i = 0; i < n; i++)
 		items[i].cost_us += filled_us[i] - own_us[i];
--- a/src/forward/spread.h
+++ b/src/forward/spread.h
@@ -26,7 +26,8 @@
 struct spread_item {
 	int64_t cost_us;     /* by the load that is seen */
 	int64_t distance_us; /* cost of the distance to this host */
-	unsigned int group;  /* data centre, below SPREAD_GROUPS_MAX */
+	double pace; /* factor of what an arrival adds to its cost, above 0 */
+	unsigned int group; /* data centre, below SPREAD_GROUPS_MAX */
 	uint32_t tie_breaker;
 	size_t index; /* the caller's */
 };
@@ -45,9 +46,9 @@
 
 /*
  * Returns the index of an item; n is at least 1.  Each arrival adds
- * arrival_cost_us to the cost of its item; `unseen` of them are expected from
- * all groups together.  `random` is uniform between 0 and 1.  Sorts the items
- * and changes their costs.
+ * arrival_cost_us x pace to the cost of its item; `unseen` of them are expected
+ * from all groups together.  `random` is uniform between 0 and 1.  Sorts the
+ * items and changes their costs.
  */
 size_t spread_choose(struct spread_item *items, size_t n,
 		     const struct spread_groups *groups, double unseen,
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -32,6 +32,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a slow engine that gets as many prompts as others, against one
+ * that gets none though it is idle, and against a stream that is placed where
+ * its events come too late.
+ */
+START_TEST(test_pace)
+{
+	struct place_target t[] = {make_engine(2, 8000, 0),
+				   make_engine(4, 12000, 1000)};
+	size_t i = 9;
+
+	t[0].pace = 2.4;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 0);
+	t[0].late = true;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	ck_assert_uint_eq(i, 1);
+	/* The limit of 6,000 tokens is 2,500 there. */
+	t[1].usable = false;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_OK);
+	t[0].prefill_tokens = 500;
+	ck_assert_int_eq(place_choose(t, 2, &report, &i), PLACE_NO_ROOM);
+	ck_assert_uint_eq(place_sum_capacity(t, 1).room_tokens, 2000);
+}
+END_TEST
+
 /*
  * Guards against preemption: memory that running generations have not filled
  * yet, but will need before they end, was counted as free.
@@ -448,21 +474,15 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {test_avoids_prefill,
-				      test_memory_and_slots,
-				      test_unusable,
-				      test_distance,
-				      test_stale_counts,
-				      test_budget,
-				      test_budget_of_many_hosts,
-				      test_engine_queue,
-				      test_moves_spread,
-				      test_moves_need_room,
-				      test_flood_fills_memory,
-				      test_prefill_bounded,
-				      test_capacity,
-				      test_rate_limited,
-				      test_cold};
+	const TTest *const tests[] = {
+		test_avoids_prefill,   test_pace,
+		test_memory_and_slots, test_unusable,
+		test_distance,	       test_stale_counts,
+		test_budget,	       test_budget_of_many_hosts,
+		test_engine_queue,     test_moves_spread,
+		test_moves_need_room,  test_flood_fills_memory,
+		test_prefill_bounded,  test_capacity,
+		test_rate_limited,     test_cold};
 
 	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
 }
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -179,8 +179,8 @@
 	struct spread_item items[8];
 
 	for (size_t i = 0; i < n; i++)
-		items[i] =
-			(struct spread_item){.cost_us = costs[i], .index = i};
+		items[i] = (struct spread_item){
+			.cost_us = costs[i], .pace = 1, .index = i};
 	return spread_choose(items, n, &groups, unseen, 100, random);
 }
 
@@ -212,10 +212,13 @@
 
 	for (int k = 0; k < 1000; k++) {
 		struct spread_item items[] = {
-			{0, .distance_us = 40000, .group = 1, .index = 0},
-			{.cost_us = own_us, .group = 0, .index = 1},
-			{0, .distance_us = 40000, .group = 1, .index = 2},
-			{.cost_us = own_us, .group = 0, .index = 3}};
+			{.pace = 1, .distance_us = 40000, .group = 1},
+			{.cost_us = own_us, .pace = 1, .index = 1},
+			{.pace = 1,
+			 .distance_us = 40000,
+			 .group = 1,
+			 .index = 2},
+			{.cost_us = own_us, .pace = 1, .index = 3}};
 		far += spread_choose(items, 4, &groups, unseen, 360000,
 				     k / 1000.0) %
 			       2 ==
