forward: Observe the speed of endpoints and place by it

Placement knew a factor for each endpoint's speed, but nothing set it.

Hosts observe the gaps between events and the waits for first events. A change of the sums alone adds no rows to partial totals.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <glib.h>
 
+#include "policy/pace.h"
+
 struct use_host {
 	Mw__UseReport *report;
 	int64_t last_report_us;
@@ -78,6 +80,11 @@
 	return s;
 }
 
+/*
+ * Whether the rows are the same for the host that gets them.  A change of the
+ * pace alone is sent with the next full totals: a row of an endpoint at work
+ * changes all the time anyway, and one that is idle should not be sent again.
+ */
 static bool rows_equal(const Mw__UseRow *a, const Mw__UseRow *b)
 {
 	return a->streams == b->streams && a->tokens == b->tokens &&
@@ -183,6 +190,42 @@
 	sum->limit_age_ms = age_ms;
 }
 
+/* What the row of one host adds to the sum; a host has a bounded weight. */
+static struct pace_sums bounded_pace(const Mw__UseRow *row)
+{
+	struct pace_sums s = pace_bound(
+		(struct pace_sums){row->pace_observed_ms * PACE_US_PER_MS,
+				   row->pace_expected_ms * PACE_US_PER_MS});
+
+	s.observed_us /= PACE_US_PER_MS;
+	s.expected_us /= PACE_US_PER_MS;
+	return s;
+}
+
+/* Only the observations of the newest incarnation count. */
+static void add_pace(Mw__UseRow *sum, const Mw__UseRow *row)
+{
+	struct pace_sums s = bounded_pace(row);
+
+	if (!s.expected_us || row->pace_incarnation < sum->pace_incarnation)
+		return;
+	if (row->pace_incarnation > sum->pace_incarnation)
+		sum->pace_observed_ms = sum->pace_expected_ms = 0;
+	sum->pace_incarnation = row->pace_incarnation;
+	sum->pace_observed_ms += s.observed_us;
+	sum->pace_expected_ms += s.expected_us;
+}
+
+static void subtract_pace(Mw__UseRow *sum, const Mw__UseRow *row)
+{
+	struct pace_sums s = bounded_pace(row);
+
+	if (!s.expected_us || row->pace_incarnation != sum->pace_incarnation)
+		return;
+	sum->pace_observed_ms -= s.observed_us;
+	sum->pace_expected_ms -= s.expected_us;
+}
+
 static void add_row(Mw__UseRow *sum, const Mw__UseRow *row)
 {
 	sum->streams += row->streams;
@@ -193,6 +236,7 @@
 	sum->failed += row->failed;
 	sum->worked += row->worked;
 	sum->sent += row->sent;
+	add_pace(sum, row);
 }
 
 static void subtract_row(Mw__UseRow *sum, const Mw__UseRow *row)
@@ -205,6 +249,7 @@
 	sum->failed -= row->failed;
 	sum->worked -= row->worked;
 	sum->sent -= row->sent;
+	subtract_pace(sum, row);
 }
 
 /*
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -7,6 +7,7 @@
 #include "forward/place.h"
 #include "forward/regions.h"
 #include "forward/spread.h"
+#include "obs/counter.h"
 #include "policy/usage_interval.h"
 
 #include <xxhash.h>
@@ -38,6 +39,17 @@
 	unsigned int n_groups;
 };
 
+/* Whether the events of the request would come later than its route's target
+ * there, as the endpoint is slow. */
+static bool is_late(const struct request *r, const struct fwd_endpoint *ep)
+{
+	return r->generation && r->route->target_gap_us &&
+	       pace_factor(&ep->pace) > 1 &&
+	       pace_busy_gap_us(&ep->pace, r->service->tokens_per_event,
+				ep->open_here + ep->open_elsewhere + 1) >
+		       r->route->target_gap_us;
+}
+
 static void candidates_release(struct candidates *c)
 {
 	g_free(c->targets);
@@ -173,6 +185,8 @@
 			.engine_queue = ep->engine_queue,
 			.prefill_tokens = ep->prefill_here_tokens +
 					  ep->prefill_elsewhere_tokens,
+			.pace = pace_factor(&ep->pace),
+			.late = is_late(r, ep),
 			.tie_breaker = g_rand_int(f->rand),
 			.group = group_of(&c, ep->dc),
 			.region = ep->region == RESIDENCY_UNKNOWN
@@ -289,8 +303,8 @@
 					 r->service->link_mbps};
 
 	for (size_t i = 0; move_links_known(&links) && i < c->n; i++)
-		c->targets[i].move_weight =
-			move_target_weight(c->targets[i].prefill_tokens);
+		c->targets[i].move_weight = move_target_weight(
+			c->targets[i].prefill_tokens, c->targets[i].pace);
 }
 
 struct place_capacity request_capacity(struct request *r, int64_t now)
@@ -411,6 +425,8 @@
 			: place_choose(c.targets, c.n, &placement, &index);
 	struct fwd_endpoint *ep = res == PLACE_OK ? c.endpoints[index] : NULL;
 
+	if (ep && c.targets[index].late && r->move.state == MOVE_NONE)
+		counter_add(C_PACE_LATE, NULL, 1);
 	*any_usable = res != PLACE_NO_ENDPOINT;
 	candidates_release(&c);
 	return ep;
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -80,6 +80,7 @@
 	ep->avoid_until_us = 0;
 	ep->consecutive_failures = 0;
 	ep->health = (struct health){0};
+	ep->pace = (struct pace){0};
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
@@ -223,6 +224,11 @@
 	ep->health.failed_elsewhere = row->failed;
 	ep->health.succeeded_elsewhere = row->worked;
 	ep->rate.sent_elsewhere = row->sent;
+	ep->pace.elsewhere = (struct pace_sums){0};
+	if (row->pace_incarnation == ep->incarnation)
+		ep->pace.elsewhere = (struct pace_sums){
+			row->pace_observed_ms * PACE_US_PER_MS,
+			row->pace_expected_ms * PACE_US_PER_MS};
 	if (row->limit_state)
 		state_limit(f, ep, row->limit_state == LIMIT_STATED,
 			    (double)row->limit_milli / MILLI,
@@ -358,8 +364,9 @@
 		unsigned int succeeded =
 			health_recent_successes(&ep->health, now);
 		bool limit = rate_is_reported(&ep->rate, now);
+		struct pace_sums pace = pace_bound(pace_own(&ep->pace, now));
 		if (!ep->open_here && !ep->needed_here_tokens && !failed &&
-		    !succeeded && !limit)
+		    !succeeded && !limit && !pace.expected_us)
 			continue;
 		Mw__UseRow *row = g_new0(Mw__UseRow, 1);
 		mw__use_row__init(row);
@@ -369,6 +376,13 @@
 		row->prefill = ep->prefill_here_tokens;
 		row->failed = failed;
 		row->worked = succeeded;
+		if (pace.expected_us) {
+			row->pace_observed_ms =
+				pace.observed_us / PACE_US_PER_MS;
+			row->pace_expected_ms =
+				pace.expected_us / PACE_US_PER_MS;
+			row->pace_incarnation = ep->incarnation;
+		}
 		if (limit)
 			report_limit(&ep->rate, row, now);
 		r->rows[r->n_rows++] = row;
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -24,6 +24,7 @@
 #include "policy/evacuation.h"
 #include "policy/length.h"
 #include "policy/owner.h"
+#include "policy/pace.h"
 #include "policy/pause.h"
 #include "policy/registry.h"
 #include "policy/residency.h"
@@ -51,6 +52,7 @@
  *   source_stop.c   the end of a moved generation at its former endpoint
  *   pause.c         pauses that endpoints ask for
  *   owner_check.c   which server uses an address
+ *   paces.c         speed of endpoints as observed
  *   crashes.c       requests that crash endpoints
  *   crash_reports.c reports on crashes for the replicated log
  *
@@ -59,6 +61,7 @@
  */
 
 struct fwd;
+struct request;
 struct crashes;
 
 /* State of an endpoint on this host; its announcement is in the registry. */
@@ -100,6 +103,7 @@
 	unsigned int consecutive_failures;
 	unsigned int runs_dropped; /* in a row, before an order to stop */
 	struct health health;
+	struct pace pace; /* speed of a model endpoint, as observed */
 	/* owner_check.c */
 	struct owner_pace owner_pace;
 	bool owner_asked; /* a question is open */
@@ -171,6 +175,7 @@
 	char avoid_host[64];	    /* one that stopped sending totals */
 	int64_t avoid_until_us;	    /* for avoid_host */
 	unsigned int n_hosts;	    /* entry hosts, this one included */
+	int64_t paces_updated_us;   /* paces.c */
 	struct warmup_hosts warmup_hosts; /* the most that there may be */
 
 	/* regions.c */
@@ -349,6 +354,14 @@
 					      const char *service);
 void endpoints_tick(struct fwd *f, int64_t now);
 
+/* ---- paces.c ---- */
+/* Records a whole event that has arrived from the request's endpoint. */
+void paces_observe_event(struct request *r, int64_t now);
+/* Notes the load under which the request was sent. */
+void paces_note_sent(struct request *r, const struct fwd_endpoint *ep);
+/* Recomputes the factors of all endpoints if it is due. */
+void paces_tick(struct fwd *f, int64_t now);
+
 /* ---- request.c, queue.c ---- */
 /* Handler of caller_httpd; ctx is the struct fwd. */
 void request_accept(void *ctx, struct httpd_req *http);
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -196,6 +196,14 @@
 	return ep ? ep->prefill_here_tokens + ep->prefill_elsewhere_tokens : 0;
 }
 
+static double pace_of_target(const struct request *r)
+{
+	const struct fwd_endpoint *ep =
+		endpoints_find(r->fwd, r->move.target.endpoint_id);
+
+	return ep ? pace_factor(&ep->pace) : 1;
+}
+
 /* Whether the source still sends events of the generation. */
 static bool runs_at_source(const struct request *r)
 {
@@ -628,7 +636,8 @@
 	uint64_t grown = tokens_of_events(r, r->events - r->move.copied_events);
 
 	if (is_planned(r) && runs_at_source(r) &&
-	    !move_resume_due(&source, prefill_at_target(r), now)) {
+	    !move_resume_due(&source, prefill_at_target(r), pace_of_target(r),
+			     now)) {
 		r->move.state = MOVE_READY;
 		r->move.due_us = now;
 		return;
--- a/src/forward/move_order.c
+++ b/src/forward/move_order.c
@@ -109,22 +109,24 @@
 		now + copy_us + ANSWER_TIME_US < notice_end_us(s));
 }
 
-int64_t move_target_wait_us(uint64_t prefill_tokens)
+int64_t move_target_wait_us(uint64_t prefill_tokens, double pace)
 {
-	return (int64_t)(prefill_tokens * 1000 / PREFILL_BESIDE_PER_MS);
+	uint64_t us = prefill_tokens * 1000 / PREFILL_BESIDE_PER_MS;
+
+	return (int64_t)((double)us * pace);
 }
 
 bool move_resume_due(const struct move_source *s, uint64_t prefill_tokens,
-		     int64_t now)
+		     double pace, int64_t now)
 {
 	return !s->leaving_since_us ||
-	       move_target_wait_us(prefill_tokens) <= WAIT_COVERED_US ||
+	       move_target_wait_us(prefill_tokens, pace) <= WAIT_COVERED_US ||
 	       now + ANSWER_TIME_US >= notice_end_us(s);
 }
 
-double move_target_weight(uint64_t prefill_tokens)
+double move_target_weight(uint64_t prefill_tokens, double pace)
 {
-	double wait = (double)move_target_wait_us(prefill_tokens) /
+	double wait = (double)move_target_wait_us(prefill_tokens, pace) /
 		      (double)WAIT_COVERED_US;
 
 	return 1 / (1 + wait * wait);
--- a/src/forward/move_order.h
+++ b/src/forward/move_order.h
@@ -77,21 +77,22 @@
 			  const struct move_source *s, uint64_t grown_tokens,
 			  int64_t round_trip_us, int64_t now);
 
-/* Time that a generation waits at a target before its first token there. */
-int64_t move_target_wait_us(uint64_t prefill_tokens);
+/* Time that a generation waits at a target, of that pace (policy/pace.h),
+ * before its first token there. */
+int64_t move_target_wait_us(uint64_t prefill_tokens, double pace);
 
 /*
  * Whether the generation, whose copy is complete, should continue at the target
  * now rather than run at its source until the target is less busy.
  */
 bool move_resume_due(const struct move_source *s, uint64_t prefill_tokens,
-		     int64_t now);
+		     double pace, int64_t now);
 
 /*
  * Factor by which a target's share of the moves is less the longer a generation
  * waits there; at most 1.
  */
-double move_target_weight(uint64_t prefill_tokens);
+double move_target_weight(uint64_t prefill_tokens, double pace);
 
 /*
  * Delay of an event that arrives from the source copying_us after the copy was
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -186,6 +186,7 @@
 	buf_consume(&r->partial_event, buf_unread(&r->partial_event));
 	if (!whole)
 		return;
+	paces_observe_event(r, now);
 	if (r->part == PART_PASSED && r->scan.has_id && !was_passed_on(r))
 		record_event(r, due_us);
 	r->part = PART_KEPT;
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -168,6 +168,8 @@
 {
 	g_strlcpy(r->endpoint_id, ep->id, sizeof(r->endpoint_id));
 	r->incarnation = ep->incarnation;
+	r->pace_event_us = 0;
+	r->pace_first = false;
 	ep->open_here++;
 	ep->needed_here_tokens += r->need_tokens;
 	ep->prefill_here_tokens += r->prefill_tokens;
@@ -641,6 +643,7 @@
 	r->state = REQUEST_SENT;
 	counter_observe(C_QUEUE_WAIT_US, "forwarded", now - r->arrived_us);
 	request_attach(r, ep);
+	paces_note_sent(r, ep);
 	r->fetch = request_start_attempt(r, ep, NULL, now);
 }
 
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -141,6 +141,11 @@
 	uint64_t events;	  /* passed on or delayed */
 	int64_t first_event_us;
 	int64_t last_event_us;
+	/* paces.c: the arrival of the last event of this attempt (0: none that
+	 * the next one can be compared with), and the load at its start. */
+	int64_t pace_event_us;
+	bool pace_first; /* the next event ends the wait of this attempt */
+	struct pace_load pace_load;
 	int64_t longest_gap_us;	    /* between two events */
 	int64_t longest_gap_end_us; /* when that gap ended */
 	bool stream_ended;	    /* the endpoint has sent all events */
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -89,6 +89,12 @@
 	"Endpoints that turned cold, by what this host learned it from.")
 COUNTER(COLD_SENT, "mustardwall_cold_sent_total", "requests", NULL,
 	"Requests and copies of generations that were sent to cold endpoints.")
+GAUGE(ENDPOINTS_PACE, "mustardwall_endpoints_pace", "endpoints", "pace",
+      "Model endpoints with a known speed: slow, alike or fast.")
+GAUGE(PACE_WORST, "mustardwall_endpoint_pace_worst_percent", "percent", NULL,
+      "Factor of the slowest endpoint relative to its service's median one.")
+COUNTER(PACE_LATE, "mustardwall_pace_late_total", "requests", NULL,
+	"Requests that were sent to an endpoint too slow for their target gap.")
 COUNTER(CRASH_PROBES, "mustardwall_crash_probes_total", "connections",
 	"outcome",
 	"Connections to endpoints that broke off an attempt, by outcome.")
--- a/src/policy/pace.c
+++ b/src/policy/pace.c
@@ -14,9 +14,11 @@
 #define STEP_PREFILL_US 8000
 #define STEP_PREFILL_TOKENS 112
 
-/* Ratio of observed to expected time that one observation may have: a factor
- * of 4 either way, and as much again for an expectation that is wrong. */
-#define SAMPLE_RATIO_MAX 8
+/* Ratio of observed to expected time that one observation, or the sums of one
+ * host, may have: 4 for a slow endpoint, and 4 for a service whose engines are
+ * all slower than expected.  Events of 20 to 35 ms, as observed, have a ratio
+ * of 2 to 4 if an event is a single token. */
+#define SAMPLE_RATIO_MAX 16
 
 /* Expected time of the observations that one host may add for an endpoint: that
  * of one stream in the window.  An endpoint with ten streams has most of its
@@ -137,8 +139,7 @@
 	return (values[(n - 1) / 2] + values[n / 2]) / 2;
 }
 
-/* Returns whether there are enough observations for a new ratio. */
-static bool update_ratio(struct pace *p, bool totals_valid, int64_t now)
+static void update_ratio(struct pace *p, bool totals_valid, int64_t now)
 {
 	struct pace_sums s = pace_bound(pace_own(p, now));
 
@@ -146,14 +147,24 @@
 		s.observed_us += p->elsewhere.observed_us;
 		s.expected_us += p->elsewhere.expected_us;
 	}
-	if (s.expected_us < WEIGHT_MIN_US)
-		return false;
-	p->ratio = ((double)s.observed_us +
-		    PRIOR_US * (p->middle > 0 ? p->middle : 1)) /
-		   ((double)s.expected_us + PRIOR_US);
-	p->observed_us = now;
-	p->weight_us = s.expected_us;
-	return true;
+	if (s.expected_us >= WEIGHT_MIN_US) {
+		p->ratio = (double)s.observed_us / (double)s.expected_us;
+		p->observed_us = now;
+		p->weight_us = s.expected_us;
+	} else if (now - p->observed_us >= FADE_US) {
+		p->ratio = p->factor = 0;
+	}
+	p->age_us = now - p->observed_us;
+}
+
+static void update_factor(struct pace *p, double middle)
+{
+	double weight_us = (double)p->weight_us;
+	double mixed = (p->ratio * weight_us + middle * PRIOR_US) /
+		       (weight_us + PRIOR_US);
+
+	p->factor = CLAMP(mixed / middle, PACE_FACTOR_MIN, PACE_FACTOR_MAX);
+	p->expected_ratio = mixed;
 }
 
 void pace_update(struct pace *const *endpoints, size_t n, bool totals_valid,
@@ -163,23 +174,16 @@
 	size_t n_ratios = 0;
 
 	for (size_t i = 0; i < n; i++) {
-		struct pace *p = endpoints[i];
-
-		if (update_ratio(p, totals_valid, now))
-			ratios[n_ratios++] = p->ratio;
-		else if (now - p->observed_us >= FADE_US)
-			p->ratio = p->factor = 0;
+		update_ratio(endpoints[i], totals_valid, now);
+		/* Those that are idle at present count, too: otherwise a slow
+		 * one that still works would be the median. */
+		if (endpoints[i]->ratio > 0)
+			ratios[n_ratios++] = endpoints[i]->ratio;
 	}
 	double middle = median(ratios, n_ratios);
-	for (size_t i = 0; i < n; i++) {
-		struct pace *p = endpoints[i];
-
-		p->age_us = now - p->observed_us;
-		p->middle = middle > 0 ? middle : p->middle;
-		if (p->ratio > 0 && !p->age_us)
-			p->factor = CLAMP(p->ratio / middle, PACE_FACTOR_MIN,
-					  PACE_FACTOR_MAX);
-	}
+	for (size_t i = 0; i < n; i++)
+		if (endpoints[i]->ratio > 0 && !endpoints[i]->age_us)
+			update_factor(endpoints[i], middle);
 }
 
 double pace_factor(const struct pace *p)
@@ -195,7 +199,7 @@
 int64_t pace_busy_gap_us(const struct pace *p, unsigned int tokens_per_event,
 			 unsigned int generations)
 {
-	double gap_us = p->ratio * (double)MAX(tokens_per_event, 1u) *
+	double gap_us = p->expected_ratio * (double)MAX(tokens_per_event, 1u) *
 			(double)step_us(generations, true);
 
 	return (int64_t)(gap_us * BUSY_GAP_PERCENT / 100);
--- a/src/policy/pace.h
+++ b/src/policy/pace.h
@@ -26,6 +26,8 @@
 #define PACE_BINS 4
 #define PACE_BIN_US INT64_C(500000)
 
+#define PACE_US_PER_MS 1000 /* the sums travel in milliseconds */
+
 struct pace_sums {
 	uint64_t observed_us, expected_us;
 };
@@ -36,13 +38,14 @@
 	int64_t bin;		    /* the newest */
 	struct pace_sums elsewhere; /* of the other hosts, from the totals */
 	/* By the last pace_update(). */
-	double ratio;	     /* observed to expected, 0: not known */
-	double middle;	     /* the median of the service, 0: not known */
-	double factor;	     /* relative to the median, 0: not known */
-	int64_t observed_us; /* last time with enough observations */
-	int64_t age_us;	     /* since then */
-	uint64_t weight_us;  /* expected time of the observations then */
-	double logged;	     /* set by the caller, 0: none */
+	double ratio;	       /* observed to expected, 0: not known */
+	double expected_ratio; /* the same, with few observations mixed with
+				  the median */
+	double factor;	       /* relative to the median, 0: not known */
+	int64_t observed_us;   /* last time with enough observations */
+	int64_t age_us;	       /* since then */
+	uint64_t weight_us;    /* expected time of the observations then */
+	double logged;	       /* set by the caller, 0: none */
 };
 
 /* Load of an endpoint as a host sees it. */
--- a/src/policy/usage_interval.c
+++ b/src/policy/usage_interval.c
@@ -15,7 +15,7 @@
  */
 #define REPORT_INTERVAL_US_PER_HOST 120
 
-/* 4,000 rows of 40 bytes a second from one host, up to 400 rows. */
+/* 4,000 rows of 40 to 60 bytes a second from one host, up to 400 rows. */
 #define REPORT_INTERVAL_US_PER_ROW 250
 
 /* Some 1,670 messages a second from a control process, up to 167 hosts. */
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -7642,7 +7642,7 @@
   (ProtobufCMessageInit) mw__endpoint_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mw__use_row__field_descriptors[15] =
 {
   {
     "endpoint",
@@ -7788,6 +7788,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace_observed_ms",
+    100,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, pace_observed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace_expected_ms",
+    101,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, pace_expected_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace_incarnation",
+    102,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseRow, pace_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_row__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
@@ -7795,6 +7831,9 @@
   11,   /* field[11] = limit_age_ms */
   10,   /* field[10] = limit_milli */
   9,   /* field[9] = limit_state */
+  13,   /* field[13] = pace_expected_ms */
+  14,   /* field[14] = pace_incarnation */
+  12,   /* field[12] = pace_observed_ms */
   3,   /* field[3] = prefill */
   8,   /* field[8] = sent */
   1,   /* field[1] = streams */
@@ -7803,10 +7842,11 @@
   5,   /* field[5] = waiting */
   7,   /* field[7] = worked */
 };
-static const ProtobufCIntRange mw__use_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange mw__use_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 100, 12 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mw__use_row__descriptor =
 {
@@ -7816,10 +7856,10 @@
   "Mw__UseRow",
   "mw",
   sizeof(Mw__UseRow),
-  12,
+  15,
   mw__use_row__field_descriptors,
   mw__use_row__field_indices_by_name,
-  1,  mw__use_row__number_ranges,
+  2,  mw__use_row__number_ranges,
   (ProtobufCMessageInit) mw__use_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1144,10 +1144,20 @@
    * time since it said so
    */
   uint64_t limit_age_ms;
+  /*
+   * Time that it took for events of the last 2 s, and what an engine of ordinary speed
+   * would have taken (policy/pace.h); both 0: nothing was observed.
+   */
+  uint64_t pace_observed_ms;
+  uint64_t pace_expected_ms;
+  /*
+   * of the endpoint, to which both belong
+   */
+  uint64_t pace_incarnation;
 };
 #define MW__USE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
