rep: Complete elections whose voters run late or write slowly

A round of pre-votes ended after 0.38 to 0.75 s and the answers to it were dropped then; a candidate forgot its votes as well. If every process runs up to 0.5 s late, or a vote takes a second to be written, the answers arrive after the next round has begun, and elections fail again and again. Two voters that time out together also became candidates of the same term, each with its own vote.

A pre-vote now counts for min_election_us from its request on, and a vote for as long as its term has no leader and no successor. Of two voters that ask each other for a pre-vote, the one with the longer log, else the lower id, goes first. A voter whose disk has not finished a write for 1.5 s starts no election, and a leader whose own disk stands still for 6 s while the others commit lets another voter lead.

--- a/src/rep/rep.c
+++ b/src/rep/rep.c
@@ -290,14 +290,18 @@
 int rep_propose(struct rep *r, int64_t now, const void *data, size_t len,
 		uint64_t *index)
 {
+	uint64_t settled;
+
 	r->now = now;
 	if (r->role != REP_LEADER)
 		return -MW_ENOTLEADER;
 	if (len > REP_MAX_ENTRY)
 		return -MW_ETOOBIG;
-	if (rep_last_index(r) - r->commit >= r->cfg.max_uncommitted ||
+	/* The own disk may be behind the commit index; its queue is bounded. */
+	settled = MIN(r->commit, r->synced);
+	if (rep_last_index(r) - settled >= r->cfg.max_uncommitted ||
 	    (r->log_bytes >= MAX_UNCOMMITTED_BYTES &&
-	     rep_bytes_between(r, r->commit, rep_last_index(r)) >=
+	     rep_bytes_between(r, settled, rep_last_index(r)) >=
 		     MAX_UNCOMMITTED_BYTES))
 		return -MW_EAGAIN;
 	*index = rep_last_index(r) + 1;
@@ -404,8 +408,8 @@
 		rep_send_pending(r);
 	r->out.vote = r->vote;
 	if (r->out.append->len || r->out.has_install) {
-		struct rep_pending_write w = {++r->write_seq,
-					      rep_last_index(r)};
+		struct rep_pending_write w = {++r->write_seq, rep_last_index(r),
+					      r->now};
 
 		g_array_append_val(r->writes, w);
 		r->out.write_seq = w.seq;
@@ -450,6 +454,14 @@
 	}
 }
 
+int64_t rep_disk_stalled_us(const struct rep *r)
+{
+	if (!r->writes->len)
+		return 0;
+	return r->now -
+	       g_array_index(r->writes, struct rep_pending_write, 0).since_us;
+}
+
 struct rep_peer *rep_peer_find(struct rep *r, uint32_t id)
 {
 	for (uint32_t i = 0; i < r->n_peers; i++)
--- a/src/rep/rep.h
+++ b/src/rep/rep.h
@@ -190,8 +190,8 @@
 
 /*
  * Output of the core, to be carried out in this order:
- *  1. save_vote: write and sync `vote`.  Messages of this output must not be
- *     sent before that, and not at all if it fails.
+ *  1. save_vote: write and sync `vote`.  Messages of this and of later outputs
+ *     must not be sent before that, and not at all if it fails.
  *  2. install: write and sync the snapshot, drop the whole log and restore the
  *     state machine from the snapshot.
  *  3. append: write the entries.  An entry whose index is already in the log
@@ -199,7 +199,8 @@
  *  4. Send msgs; this may happen before steps 2 and 3 are synced.
  *  5. Apply the entries of commit in order, after the install.
  * Once steps 2 and 3 are synced, call rep_synced(r, now, write_seq) unless
- * write_seq is 0.
+ * write_seq is 0.  The writes of several outputs may be under way, in their
+ * order; steps 4 and 5 need not wait for them, but for the votes.
  */
 struct rep_output {
 	bool save_vote;
--- a/src/rep/rep_append.c
+++ b/src/rep/rep_append.c
@@ -14,6 +14,14 @@
  */
 #define MAX_INFLIGHT_BYTES (256u << 10)
 
+/*
+ * A leader whose own disk has not finished a write for this many times
+ * min_election_us (6 s) lets another voter lead, if the others commit without
+ * it.  Shorter stalls cost nothing, as commits need a majority only; without an
+ * end the log in memory would reach its bound and refuse all proposals.
+ */
+#define DISK_STALL_ELECTIONS 4
+
 /* A snapshot chunk is sent again if no reply arrives within this time. */
 #define CHUNK_RESEND_US (1 * USEC_PER_SEC)
 
@@ -202,6 +210,12 @@
 		rep_become_follower(r, r->vote.term, 0);
 		return;
 	}
+	if (r->commit > r->synced &&
+	    rep_disk_stalled_us(r) >
+		    DISK_STALL_ELECTIONS * r->cfg.min_election_us) {
+		rep_become_follower(r, r->vote.term, 0);
+		return;
+	}
 	for (uint32_t i = 0; i < r->n_peers; i++) {
 		struct rep_peer *p = &r->peers[i];
 		if (p->chunk_sent &&
--- a/src/rep/rep_election.c
+++ b/src/rep/rep_election.c
@@ -124,29 +124,45 @@
 		r->lost_ids[r->n_lost_ids++] = id;
 }
 
-static bool is_granted(const struct rep *r, uint32_t id)
+/*
+ * A pre-vote counts for so long from its request on, also in later rounds of
+ * the same series: if requests and answers each wait 0.5 s for a process that
+ * runs late, no round would be complete before the next one begins.
+ */
+static int64_t prevote_valid_us(const struct rep *r)
 {
-	for (uint32_t i = 0; i < r->n_peers; i++)
-		if (r->peers[i].id == id)
-			return r->peers[i].granted;
-	return id == r->cfg.id && r->self_granted;
+	return r->cfg.min_election_us;
+}
+
+static bool is_granted(const struct rep *r, uint32_t id, bool prevote)
+{
+	for (uint32_t i = 0; i < r->n_peers; i++) {
+		const struct rep_peer *p = &r->peers[i];
+
+		if (p->id == id)
+			return prevote ? p->prevote_us &&
+						 r->now - p->prevote_us <
+							 prevote_valid_us(r)
+				       : p->voted;
+	}
+	return id == r->cfg.id;
 }
 
 /*
  * A startup round needs the votes of all voters whose disk is not lost, and at
  * least of a majority.
  */
-static bool quorum_granted(const struct rep *r)
+static bool quorum_granted(const struct rep *r, bool prevote)
 {
+	bool startup = prevote ? r->startup_round : r->campaign_startup;
 	uint32_t granted = 0;
 
 	for (uint32_t i = 0; i < r->voters.n; i++) {
 		const struct rep_voter *v = &r->voters.v[i];
 
-		if (is_granted(r, v->id))
+		if (is_granted(r, v->id, prevote))
 			granted |= 1u << i;
-		else if (r->startup_round && !v->learner &&
-			 !is_disk_lost(r, v->id))
+		else if (startup && !v->learner && !is_disk_lost(r, v->id))
 			return false;
 	}
 	return quorum_reached(&r->voters, granted);
@@ -154,8 +170,10 @@
 
 static void become_leader(struct rep *r)
 {
-	assert(r->role == REP_CANDIDATE && r->vote.vote == r->cfg.id);
+	assert(r->role != REP_LEADER && r->campaign_term == r->vote.term &&
+	       r->vote.vote == r->cfg.id);
 	r->role = REP_LEADER;
+	r->campaign_term = 0; /* a term is led at most once */
 	r->no_leader_since_start = r->startup_round = false;
 	r->leader = r->cfg.id;
 	r->elected_us = r->now;
@@ -171,21 +189,11 @@
 
 static void request_votes(struct rep *r, uint32_t type, uint64_t term)
 {
-	int64_t min = r->cfg.min_election_us;
-
 	r->leader = 0;
-	r->vote_round_us = r->now;
-	/*
-	 * A retry needs no full timeout: that of the other voters has mostly
-	 * passed.
-	 */
-	r->election_due_us = r->now + random_between(r, min / 4, min / 2);
-	r->self_granted = true;
 	for (uint32_t i = 0; i < r->n_peers; i++) {
 		struct rep_peer *p = &r->peers[i];
 		struct rep_msg *m;
 
-		p->granted = false;
 		if (!rep_is_voter(&r->voters, p->id))
 			continue;
 		m = rep_msg_to(r, type, p->id);
@@ -200,25 +208,53 @@
 
 static void become_candidate(struct rep *r)
 {
+	int64_t min = r->cfg.min_election_us;
+
 	r->role = REP_CANDIDATE;
 	rep_set_term(r, r->vote.term + 1, r->cfg.id);
+	r->campaign_term = r->vote.term;
+	r->campaign_startup = r->startup_round;
+	for (uint32_t i = 0; i < r->n_peers; i++)
+		r->peers[i].voted = false;
+	/*
+	 * Longer than between pre-votes: the votes are written to disk first,
+	 * and a term that ends early is lost for all.
+	 */
+	r->election_due_us = r->now + random_between(r, min / 2, min);
 	request_votes(r, REP_VOTE, r->vote.term);
-	if (quorum_granted(r))
+	if (quorum_granted(r, false))
 		become_leader(r);
 }
 
-static void begin_startup_round(struct rep *r)
+/* Begins a round of pre-votes, or a series of them. */
+static void request_prevotes(struct rep *r, bool startup)
 {
-	int64_t election_due_us = r->election_due_us;
+	int64_t min = r->cfg.min_election_us;
 
+	if (r->role != REP_PRECANDIDATE || r->startup_round != startup) {
+		r->prevotes_from_us = r->now;
+		for (uint32_t i = 0; i < r->n_peers; i++)
+			r->peers[i].prevote_us = 0;
+	}
+	r->role = REP_PRECANDIDATE;
+	r->startup_round = startup;
+	/*
+	 * A retry needs no full timeout: that of the other voters has mostly
+	 * passed.
+	 */
+	if (!startup)
+		r->election_due_us =
+			r->now + random_between(r, min / 8, min / 4);
+	request_votes(r, REP_PREVOTE, r->vote.term + 1);
+}
+
+static void begin_startup_round(struct rep *r)
+{
 	r->startup_round_us = r->now + random_between(r, STARTUP_ROUND_MIN_US,
 						      STARTUP_ROUND_MAX_US);
 	if (!r->vote.joined || !may_campaign(r) || !r->synced)
 		return;
-	r->startup_round = true;
-	r->role = REP_PRECANDIDATE;
-	request_votes(r, REP_PREVOTE, r->vote.term + 1);
-	r->election_due_us = election_due_us;
+	request_prevotes(r, true);
 }
 
 void rep_election_tick(struct rep *r)
@@ -232,21 +268,51 @@
 		return;
 	/*
 	 * Elections by majority begin here.  Startup rounds end, as they would
-	 * interfere with them.
+	 * interfere with them.  With a stalled disk this voter could not save
+	 * its own vote.
 	 */
-	r->startup_round = false;
 	r->startup_round_us = INT64_MAX;
 	r->leader = 0;
-	if (!r->vote.joined || !may_campaign(r)) {
+	if (!r->vote.joined || !may_campaign(r) ||
+	    rep_disk_stalled_us(r) >= r->cfg.min_election_us) {
+		r->startup_round = false;
+		r->role = REP_FOLLOWER;
 		rep_reset_election(r);
 		return;
 	}
-	r->role = REP_PRECANDIDATE;
-	request_votes(r, REP_PREVOTE, r->vote.term + 1);
-	if (quorum_granted(r))
+	request_prevotes(r, false);
+	if (quorum_granted(r, true))
 		become_candidate(r);
 }
 
+/*
+ * Decides between two voters that ask each other for a pre-vote: without that
+ * both would become candidates of the same term, each with its own vote, and
+ * again in the next term.  The one with the longer log goes first, else the one
+ * with the lower id.  The other one waits for as long as a candidate does.
+ */
+static bool is_outranked(const struct rep *r, const struct rep_msg *m)
+{
+	if (m->prev_term != rep_last_term(r) ||
+	    m->prev_index != rep_last_index(r))
+		return true; /* up_to_date() holds, so its log is longer */
+	return m->from < r->cfg.id;
+}
+
+static bool in_majority_round(const struct rep *r, const struct rep_msg *m)
+{
+	return r->role == REP_PRECANDIDATE && !r->startup_round && !m->ok &&
+	       m->term == r->vote.term + 1;
+}
+
+static void give_way(struct rep *r)
+{
+	int64_t min = r->cfg.min_election_us;
+
+	r->role = REP_FOLLOWER;
+	r->election_due_us = r->now + random_between(r, min / 2, min);
+}
+
 void rep_on_prevote(struct rep *r, const struct rep_msg *m)
 {
 	struct rep_msg *reply = rep_msg_to(r, REP_PREVOTE_REPLY, m->from);
@@ -254,6 +320,12 @@
 	reply->ok = m->term > r->vote.term &&
 		    (!withholds_vote(r) || may_grant_startup_vote(r, m)) &&
 		    up_to_date(r, m);
+	if (reply->ok && in_majority_round(r, m)) {
+		if (is_outranked(r, m))
+			give_way(r);
+		else
+			reply->ok = false;
+	}
 	if (reply->ok)
 		reply->term = m->term;
 	reply->sent_us = m->sent_us;
@@ -289,17 +361,23 @@
 	if (!m->ok || !p)
 		return;
 	if (m->type == REP_PREVOTE_REPLY) {
-		/* Ignore replies to earlier rounds; they may be outdated. */
 		if (r->role != REP_PRECANDIDATE ||
 		    m->term != r->vote.term + 1 ||
-		    m->sent_us != r->vote_round_us)
+		    m->sent_us < r->prevotes_from_us || m->sent_us > r->now)
 			return;
-		p->granted = true;
-		if (quorum_granted(r))
+		p->prevote_us = MAX(p->prevote_us, m->sent_us);
+		if (quorum_granted(r, true))
 			become_candidate(r);
-	} else if (r->role == REP_CANDIDATE) {
-		p->granted = true;
-		if (quorum_granted(r))
-			become_leader(r);
+		return;
 	}
+	/*
+	 * A vote of the current term counts until there is a leader or a higher
+	 * term, also after the candidate has begun to ask for another term.
+	 */
+	if (r->role == REP_LEADER || r->leader || m->term != r->vote.term ||
+	    r->campaign_term != m->term)
+		return;
+	p->voted = true;
+	if (quorum_granted(r, false))
+		become_leader(r);
 }
--- a/src/rep/rep_int.h
+++ b/src/rep/rep_int.h
@@ -37,7 +37,12 @@
 	uint64_t match, next; /* last index known to be equal; next to send */
 	bool probe_sent;      /* PEER_PROBE: sent since the last heartbeat */
 	bool reads_joint;     /* knows joint lists, by its replies */
-	bool granted; /* granted its vote or pre-vote in the current round */
+	/*
+	 * Send time of the newest pre-vote request that it granted, 0 if none
+	 * in this series of rounds.
+	 */
+	int64_t prevote_us;
+	bool voted; /* for this voter in campaign_term */
 	/*
 	 * Send time, on the own clock, of the newest message it acknowledged; 0
 	 * if none.
@@ -57,6 +62,7 @@
 struct rep_pending_write {
 	uint64_t seq;  /* rep_output.write_seq */
 	uint64_t last; /* last index that the write makes durable */
+	int64_t since_us;
 };
 
 struct rep {
@@ -104,8 +110,9 @@
 	GByteArray *incoming_data;
 
 	/* candidate */
-	int64_t vote_round_us; /* start of the current round */
-	bool self_granted;
+	int64_t prevotes_from_us; /* start of this series of pre-vote rounds */
+	uint64_t campaign_term;	  /* the last one in which it was a candidate */
+	bool campaign_startup;	  /* by a startup round */
 
 	/* leader */
 	int64_t elected_us, next_heartbeat_us;
@@ -125,6 +132,8 @@
 struct rep_msg *rep_msg_to(struct rep *r, uint32_t type, uint32_t to);
 void rep_set_term(struct rep *r, uint64_t term, uint32_t vote);
 void rep_set_commit(struct rep *r, uint64_t commit);
+/* How long the oldest write of an output has not been synced; 0 if none. */
+int64_t rep_disk_stalled_us(const struct rep *r);
 struct rep_peer *rep_peer_find(struct rep *r, uint32_t id);
 
 /* rep_log.c */
