control: Write the log in a thread of its own

The event loop of a control process waited for each sync.

Messages that may depend on a vote wait for it. What a majority has committed is applied without waiting for the own disk. Writes that take more than 250 ms are logged (slow_write).

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	check check-mode demo bench proof clean
 .SECONDARY:
 
-all: $(BINS)
+all: $(BINS) $(B)/tests/slow_sync.so
 
 tests: $(TESTS) $(FUZZERS)
 
@@ -76,6 +76,11 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS) $(CHECK_LIBS)
 
+$(B)/tests/slow_sync.so: tests/slow_sync.c
+	@mkdir -p $(@D)
+	@echo "CC $<"
+	@$(CC) -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror -fPIC -shared -o $@ $<
+
 $(B)/platform/%: $(B)/platform/tools/%.o $(PLATFORM_OBJ) $(B)/libmw.a
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS)
--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -652,6 +652,8 @@
 	c->incarnation = (uint64_t)clock_wall_us();
 	slog_setup(conf->host, conf->dc, "control", c->incarnation);
 	c->status = ctl_status_new(clock_mono_us());
+	list_init(&c->disk_writes);
+	list_init(&c->held_msgs);
 	list_init(&c->changes);
 	list_init(&c->orders);
 	list_init(&c->publications);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -25,7 +25,8 @@
 
 /*
  * A control process: a voter of the replicated log, a replica of the state
- * machine and the hub of its data centre.  One event loop, one thread:
+ * machine and the hub of its data centre.  One event loop, in one thread, and a
+ * thread that writes the log (rep/disk_writer.h):
  *
  *   ctl.c         set-up, frames, timers
  *   ctl_boot.c    first start of a control group
@@ -91,7 +92,15 @@
 	struct membudget memory; /* what clients make this process hold */
 	struct event_ring *events;
 
-	struct disk *disk;
+	struct disk *disk; /* used by the thread of disk_writer */
+	struct disk_writer *disk_writer;
+	ev_async disk_progress;
+	uint64_t disk_done;	 /* jobs of the writer that are done */
+	uint64_t vote_job;	 /* the newest job with a vote, or 0 */
+	uint64_t disk_log_bytes; /* size of the log on disk */
+	struct list disk_writes; /* ctl_log.c: jobs not known to be done */
+	struct list held_msgs;	 /* ctl_log.c: until a vote is durable */
+	bool snapshot_pending;	 /* a snapshot is being saved */
 	struct rep *rep;
 	struct sm *sm;
 	uint64_t applied;
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -11,6 +11,7 @@
 #include "control/ctl_status.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
+#include "rep/disk_writer.h"
 #include "rep/rep_wire.h"
 
 /*
@@ -18,7 +19,10 @@
  * requires, and applies committed entries to the state machine.
  *
  * All events of one event loop iteration are handled before the output is
- * written, so that proposals and acknowledgements share one sync to disk.
+ * handed to the thread that writes (rep/disk_writer.h), so that proposals and
+ * acknowledgements share one sync to disk.  The loop never waits for the disk:
+ * a sync that takes seconds would keep it from sending and acknowledging
+ * heartbeats, and the group would elect another leader (incident 16).
  */
 
 /* A snapshot is due after this many entries or bytes of log on disk. */
@@ -31,6 +35,29 @@
  */
 #define SNAPSHOT_TAIL_MIN_BYTES (1u << 20)
 
+/*
+ * Writes that take longer are logged.  Synced writes take below 5 ms on an idle
+ * disk and up to 10 s were seen beside other writers.
+ */
+#define SLOW_WRITE_US (250 * USEC_PER_MSEC)
+
+/* A job of the disk writer that is not known to be done. */
+struct disk_write {
+	struct list node;
+	uint64_t job;
+	uint64_t write_seq; /* of the output, or 0 */
+	int64_t since_us;
+	bool is_snapshot; /* of this state machine, not an installed one */
+	struct rep_snap snap;
+};
+
+/* Messages that may depend on a vote that is not durable yet. */
+struct held_msgs {
+	struct list node;
+	uint64_t after_job; /* the job of that vote */
+	GPtrArray *msgs;
+};
+
 /* A proposal whose entry is appended and not applied yet. */
 struct pending_proposal {
 	uint64_t term; /* of its entry */
@@ -40,13 +67,12 @@
 };
 
 /* Reports a disk error and ends the event loop with it. */
-static int fail_on_disk_error(struct ctl *c, int err)
+static void fail_on_disk_error(struct ctl *c, int err)
 {
 	log_error("disk", "%s", disk_error(c->disk));
 	ctl_event(c, EV_KIND_STORAGE, NULL, NULL, "%s", disk_error(c->disk));
 	c->exit_error = err;
 	ev_break(c->loop, EVBREAK_ALL);
-	return err;
 }
 
 /* Replaces the state machine by that of a snapshot. */
@@ -95,6 +121,29 @@
 	return 0;
 }
 
+/* Called by the thread of the disk writer. */
+static void wake_loop(void *ctx)
+{
+	struct ctl *c = ctx;
+
+	ev_async_send(c->loop, &c->disk_progress);
+}
+
+/* ctl_log_pump() does the work, before the loop waits again. */
+static void on_disk_progress(struct ev_loop *loop, ev_async *w, int revents)
+{
+	(void)loop;
+	(void)w;
+	(void)revents;
+}
+
+static void start_disk_writer(struct ctl *c)
+{
+	ev_async_init(&c->disk_progress, on_disk_progress);
+	ev_async_start(c->loop, &c->disk_progress);
+	c->disk_writer = disk_writer_new(c->disk, wake_loop, c);
+}
+
 int ctl_log_open(struct ctl *c)
 {
 	struct rep_stored stored;
@@ -137,12 +186,37 @@
 	}
 	c->bootstrap_pending = c->conf->bootstrap && disk_empty &&
 			       (!c->conf->seed_nr || ctl_boot_is_seed(c));
+	start_disk_writer(c);
 	return 0;
 }
 
+static void disk_write_free(struct disk_write *w)
+{
+	list_del(&w->node);
+	rep_snap_release(&w->snap);
+	g_free(w);
+}
+
+static void held_msgs_free(struct held_msgs *h)
+{
+	list_del(&h->node);
+	g_ptr_array_unref(h->msgs);
+	g_free(h);
+}
+
 void ctl_log_close(struct ctl *c)
 {
 	ctl_log_fail_pending(c);
+	if (c->disk_writer) {
+		disk_writer_free(c->disk_writer);
+		ev_async_stop(c->loop, &c->disk_progress);
+	}
+	while (!list_empty(&c->disk_writes))
+		disk_write_free(
+			list_first(&c->disk_writes, struct disk_write, node));
+	while (!list_empty(&c->held_msgs))
+		held_msgs_free(
+			list_first(&c->held_msgs, struct held_msgs, node));
 	if (c->rep)
 		rep_free(c->rep);
 	if (c->sm)
@@ -151,10 +225,10 @@
 		disk_close(c->disk);
 }
 
-static void send_messages(struct ctl *c, struct rep_output *out)
+static void send_messages(struct ctl *c, const GPtrArray *msgs)
 {
-	for (guint i = 0; i < out->msgs->len; i++) {
-		const struct rep_msg *m = out->msgs->pdata[i];
+	for (guint i = 0; i < msgs->len; i++) {
+		const struct rep_msg *m = msgs->pdata[i];
 		struct peer *p = ctl_voter_peer(c, m->to);
 		if (!p)
 			continue;
@@ -166,6 +240,36 @@
 	}
 }
 
+/* Sends messages, or keeps them until the newest vote is durable. */
+static void send_or_hold(struct ctl *c, GPtrArray *msgs)
+{
+	struct held_msgs *h;
+
+	if (!msgs->len)
+		return;
+	if (c->vote_job <= c->disk_done) {
+		send_messages(c, msgs);
+		return;
+	}
+	h = g_new0(struct held_msgs, 1);
+	h->after_job = c->vote_job;
+	h->msgs = g_ptr_array_ref(msgs);
+	list_add_tail(&c->held_msgs, &h->node);
+}
+
+static void release_held_msgs(struct ctl *c)
+{
+	while (!list_empty(&c->held_msgs)) {
+		struct held_msgs *h =
+			list_first(&c->held_msgs, struct held_msgs, node);
+
+		if (h->after_job > c->disk_done)
+			return;
+		send_messages(c, h->msgs);
+		held_msgs_free(h);
+	}
+}
+
 static void apply_entry(struct ctl *c, const struct rep_entry *e)
 {
 	c->applied = e->index;
@@ -195,94 +299,142 @@
 	mw__result__free_unpacked(r, NULL);
 }
 
-/*
- * Installs a snapshot, writes entries, sends the messages and syncs.  Sending
- * before the sync, which rep.h allows, lets the followers write meanwhile.
- */
-static int write_and_send(struct ctl *c, struct rep_output *out)
+static struct disk_write *submit_write(struct ctl *c,
+				       const struct disk_job *job)
 {
-	int64_t start = clock_mono_us();
-	int r;
+	struct disk_write *w = g_new0(struct disk_write, 1);
+
+	w->job = disk_writer_submit(c->disk_writer, job);
+	w->since_us = clock_mono_us();
+	list_add_tail(&c->disk_writes, &w->node);
+	return w;
+}
 
+/* Hands what an output has to write to the disk writer. */
+static void write_output(struct ctl *c, struct rep_output *out)
+{
+	struct disk_job job = {.save_vote = out->save_vote, .vote = out->vote};
+	struct disk_write *w;
+
+	if (!out->save_vote && !out->has_install && !out->append->len)
+		return;
 	if (out->has_install) {
-		r = disk_save_snapshot(c->disk, &out->install, true);
-		if (r < 0)
-			return fail_on_disk_error(c, r);
-		restore_snapshot(c, &out->install);
+		job.has_snap = job.reset_log = true;
+		job.snap = out->install;
 	}
-	if (out->append->len) {
-		r = disk_append(c->disk,
-				(struct rep_entry *const *)out->append->pdata,
-				out->append->len);
-		if (r < 0)
-			return fail_on_disk_error(c, r);
+	if (out->append->len)
+		job.append = out->append;
+	w = submit_write(c, &job);
+	w->write_seq = out->write_seq;
+	if (out->save_vote)
+		c->vote_job = w->job;
+}
+
+/*
+ * What is committed is applied without waiting for the own disk, as a majority
+ * has it on theirs.
+ */
+static void carry_out(struct ctl *c, struct rep_output *out)
+{
+	write_output(c, out);
+	send_or_hold(c, out->msgs);
+	if (out->has_install)
+		restore_snapshot(c, &out->install);
+	for (guint i = 0; i < out->commit->len && !c->exit_error; i++)
+		apply_entry(c, out->commit->pdata[i]);
+}
+
+/* A snapshot of the state machine is durable: drops what it replaces. */
+static void finish_snapshot(struct ctl *c, const struct disk_write *w)
+{
+	c->snapshot_pending = false;
+	if (rep_compact(c->rep, w->snap.index, w->snap.data) < 0)
+		return; /* the leader has sent a newer one meanwhile */
+	c->last_snapshot_index = w->snap.index;
+	c->last_snapshot_bytes = g_bytes_get_size(w->snap.data);
+}
+
+static void finish_write(struct ctl *c, const struct disk_write *w)
+{
+	int64_t now = clock_mono_us();
+	int64_t took_us = now - w->since_us;
+
+	counter_observe(C_SYNC_US, NULL, took_us);
+	if (took_us >= SLOW_WRITE_US) {
+		struct slog l = slog_begin("slow_write");
+		slog_int(&l, "took_us", took_us);
+		slog_int(&l, "term", (int64_t)rep_term(c->rep));
+		slog_int(&l, "log_index", (int64_t)rep_last_index(c->rep));
+		slog_end(&l);
 	}
-	send_messages(c, out);
-	if (!out->write_seq)
-		return 0;
-	r = disk_sync(c->disk);
-	if (r < 0)
-		return fail_on_disk_error(c, r);
-	counter_observe(C_SYNC_US, NULL, clock_mono_us() - start);
-	return 0;
+	if (w->is_snapshot)
+		finish_snapshot(c, w);
+	if (w->write_seq)
+		rep_synced(c->rep, now, w->write_seq);
 }
 
-static int carry_out(struct ctl *c, struct rep_output *out)
+/* Takes note of the writes that the disk writer has done. */
+static void finish_writes(struct ctl *c)
 {
-	if (out->save_vote) {
-		int r = disk_save_vote(c->disk, &out->vote);
-		if (r < 0)
-			return fail_on_disk_error(c, r);
+	struct disk_progress progress;
+
+	disk_writer_progress(c->disk_writer, &progress);
+	c->disk_done = progress.done;
+	c->disk_log_bytes = progress.log_bytes;
+	while (!list_empty(&c->disk_writes)) {
+		struct disk_write *w =
+			list_first(&c->disk_writes, struct disk_write, node);
+
+		if (w->job > progress.done)
+			break;
+		finish_write(c, w);
+		disk_write_free(w);
 	}
-	int r = write_and_send(c, out);
-	if (r < 0)
-		return r;
-	for (guint i = 0; i < out->commit->len; i++)
-		apply_entry(c, out->commit->pdata[i]);
-	if (out->write_seq)
-		rep_synced(c->rep, clock_mono_us(), out->write_seq);
-	return 0;
+	if (progress.error)
+		fail_on_disk_error(c, progress.error);
+	else
+		release_held_msgs(c);
 }
 
-/* Takes a snapshot, saves it and removes the entries that it replaces. */
+/* Takes a snapshot of the state machine and has it saved. */
 static void snapshot_if_due(struct ctl *c)
 {
-	struct rep_snap snap;
+	struct disk_job job = {.has_snap = true};
 	struct buf b = BUF_INIT;
+	struct disk_write *w;
 
-	if (c->applied - c->last_snapshot_index < SNAPSHOT_ENTRIES &&
-	    disk_log_bytes(c->disk) < SNAPSHOT_LOG_BYTES &&
-	    c->tail_bytes <
-		    MAX(c->last_snapshot_bytes, SNAPSHOT_TAIL_MIN_BYTES))
+	if (c->snapshot_pending ||
+	    (c->applied - c->last_snapshot_index < SNAPSHOT_ENTRIES &&
+	     c->disk_log_bytes < SNAPSHOT_LOG_BYTES &&
+	     c->tail_bytes <
+		     MAX(c->last_snapshot_bytes, SNAPSHOT_TAIL_MIN_BYTES)))
 		return;
 	if (c->applied == c->last_snapshot_index ||
-	    rep_snap_header_at(c->rep, c->applied, &snap) < 0)
+	    rep_snap_header_at(c->rep, c->applied, &job.snap) < 0)
 		return;
 	sm_snapshot(c->sm, &b);
-	snap.data = g_bytes_new(buf_head(&b), buf_unread(&b));
+	job.snap.data = g_bytes_new(buf_head(&b), buf_unread(&b));
 	buf_release(&b);
-	int r = disk_save_snapshot(c->disk, &snap, false);
-	if (r < 0)
-		fail_on_disk_error(c, r);
-	else if (rep_compact(c->rep, c->applied, snap.data) == 0) {
-		c->last_snapshot_index = c->applied;
-		c->last_snapshot_bytes = g_bytes_get_size(snap.data);
-		c->tail_bytes = 0;
-	}
-	rep_snap_release(&snap);
+	w = submit_write(c, &job);
+	w->is_snapshot = true;
+	w->snap = job.snap;
+	c->snapshot_pending = true;
+	c->tail_bytes = 0;
 }
 
 void ctl_log_pump(struct ctl *c)
 {
-	for (;;) {
+	finish_writes(c);
+	while (!c->exit_error) {
 		struct rep_output out;
 		rep_take_output(c->rep, &out);
 		bool empty = !out.save_vote && !out.has_install &&
 			     !out.append->len && !out.msgs->len &&
 			     !out.commit->len && !out.write_seq;
-		int r = empty ? 0 : carry_out(c, &out);
+		if (!empty)
+			carry_out(c, &out);
 		rep_output_release(&out);
-		if (empty || r < 0 || c->exit_error)
+		if (empty)
 			break;
 	}
 	if (!c->exit_error)
