--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -113,7 +113,7 @@
 GAUGE(REP_COMMIT, "mustardwall_log_commit", "entries", NULL,
       "Committed index of the replicated log.")
 HISTOGRAM(SYNC_US, "mustardwall_sync_us", "microseconds", NULL,
-	  "Time of one write and sync of the log.")
+	  "Time from an output of the log to the end of its sync.")
 COUNTER(PROPOSALS, "mustardwall_proposals_total", "commands", "result",
 	"Commands proposed to the replicated log, by error kind.")
 HISTOGRAM(PROPOSAL_US, "mustardwall_proposal_us", "microseconds", NULL,
