peer, frame: Bound what a connection takes before it is verified

An accepter took frames of up to 4 MiB as soon as it had a Hello, which may be a replay: 256 such connections could make a process buffer 1 GiB. Until the other side is verified, frames are limited to the size of a Hello, and a read takes 8 KiB at a time. A dialer's first frame after its Hello has no body, so no process sends more. Connections draw on the budget of memory: unverified ones are shed as requests that arrive; verified ones keep their own bounds (max_unsent_bytes, FRAME_MAX_BYTES) and are counted.

test_frame.c sent large frames right after the Hello; it now verifies the dialer first, and checks in addition that a large frame before that is refused.

--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -328,6 +328,7 @@
 		.admin_addr = f->conf->admin_listen,
 		.incarnation = f->incarnation,
 		.backoff_max_ms = 1000,
+		.budget = &f->memory,
 		.ops = {.up = on_up, .down = on_down, .frame = on_frame},
 		.ctx = f,
 	};
--- a/src/net/peer.c
+++ b/src/net/peer.c
@@ -229,6 +229,7 @@
 		conn_fail(oldest, -MW_ELIMIT);
 	}
 	c->peer = p;
+	membudget_set_kind(&c->mem, MEMBUDGET_HELD, clock_mono_us());
 	c->net->n_unverified -= c->frame.side == FRAME_ACCEPTER;
 	list_add(&p->conns, &c->in_peer);
 	/*
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -6,6 +6,7 @@
 #include <ev.h>
 
 #include "base/hlc.h"
+#include "policy/membudget.h"
 #include "wire/frame.h"
 #include "wire/mw.pb-c.h"
 
@@ -67,6 +68,13 @@
 	int backoff_max_ms;	 /* limit of the doubling delay; 5000 */
 	size_t max_unsent_bytes; /* send buffer of a connection; 16 MiB */
 
+	/*
+	 * On which connections draw; NULL: none.  Those that are not verified
+	 * are shed as requests that arrive.  Others are not: their bounds are
+	 * max_unsent_bytes and FRAME_MAX_BYTES.
+	 */
+	struct membudget *budget;
+
 	struct peer_ops ops;
 	void *ctx; /* passed to ops */
 };
--- a/src/net/peer_conn.c
+++ b/src/net/peer_conn.c
@@ -16,6 +16,12 @@
 
 #define READ_BYTES (64 * 1024)
 
+/* While the other side is not verified: two of the largest frames. */
+#define UNVERIFIED_READ_BYTES (2 * FRAME_HELLO_MAX_BYTES)
+
+/* Of a connection and its socket, besides its buffers. */
+#define CONN_BYTES 4096
+
 /* Maximum reads per wake-up, so that one busy peer cannot starve others. */
 #define READS_PER_WAKEUP 4
 
@@ -92,6 +98,39 @@
 	mark_dirty(c);
 }
 
+/* The buffers keep within their own bounds if there is no room. */
+static void count_memory(struct conn *c)
+{
+	membudget_set(&c->mem,
+		      CONN_BYTES + buf_unread(&c->in) + buf_unread(&c->out),
+		      clock_mono_us());
+}
+
+static void on_shed(void *arg)
+{
+	conn_fail(arg, -MW_ELIMIT);
+}
+
+/* Not before it is verified may a connection keep memory from callers. */
+static void add_memory(struct conn *c)
+{
+	int64_t now = clock_mono_us();
+	bool accepted = c->frame.side == FRAME_ACCEPTER;
+
+	if (!c->net->cfg.budget)
+		return;
+	c->mem.shed = on_shed;
+	c->mem.arg = c;
+	membudget_add(c->net->cfg.budget, &c->mem,
+		      accepted ? MEMBUDGET_ARRIVING : MEMBUDGET_HELD, 0, now);
+	/* What the first frames may take counts before they arrive. */
+	if (!membudget_set(&c->mem,
+			   CONN_BYTES + (accepted ? UNVERIFIED_READ_BYTES : 0),
+			   now) &&
+	    accepted)
+		on_shed(c);
+}
+
 int conn_send(struct conn *c, Mw__Frame *f)
 {
 	struct ev_loop *loop = c->net->cfg.loop;
@@ -112,6 +151,8 @@
 	if (c->peer)
 		c->peer->stats.frames_out++;
 	counter_add(C_PEER_FRAMES, "out", 1);
+	if (c->peer)
+		count_memory(c);
 	mark_dirty(c);
 	return 0;
 }
@@ -166,6 +207,8 @@
 			c->peer->stats.bytes_out += (uint64_t)n;
 		counter_add(C_PEER_BYTES, "out", (uint64_t)n);
 		buf_consume(&c->out, (size_t)n);
+		if (c->peer)
+			count_memory(c);
 	}
 	ev_io_stop(loop, &c->write_watch);
 	return 0;
@@ -223,7 +266,8 @@
 	static char chunk[READ_BYTES];
 
 	for (int i = 0; i < READS_PER_WAKEUP; i++) {
-		ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
+		size_t most = c->peer ? sizeof(chunk) : UNVERIFIED_READ_BYTES;
+		ssize_t n = recv(c->fd, chunk, most, 0);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN)
@@ -236,7 +280,9 @@
 		int err = conn_decode(c);
 		if (err < 0)
 			return err;
-		if (n < (ssize_t)sizeof(chunk))
+		if (c->peer)
+			count_memory(c);
+		if (n < (ssize_t)most)
 			return 0;
 	}
 	return 0;
@@ -357,6 +403,7 @@
 	start_check_timer(c);
 	n->n_conns++;
 	n->n_unverified += side == FRAME_ACCEPTER;
+	add_memory(c);
 	return c;
 }
 
@@ -413,6 +460,7 @@
 		c->net->n_unverified--;
 	if (c->hello)
 		mw__frame__free_unpacked(c->hello, NULL);
+	membudget_remove(&c->mem);
 	buf_release(&c->in);
 	buf_release(&c->out);
 	g_free(c);
--- a/src/net/peer_int.h
+++ b/src/net/peer_int.h
@@ -48,6 +48,7 @@
 	Mw__Frame *hello;	  /* received Hello; moved to the peer */
 	struct frame_conn frame;
 	struct buf in, out;
+	struct membudget_holder mem; /* of the buffers */
 	ev_io read_watch, write_watch;
 	ev_timer check_timer;
 	ev_tstamp started_at, last_rx, last_tx;
--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -185,7 +185,7 @@
 		return 0;
 	size_t len = (size_t)p[0] << 24 | (size_t)p[1] << 16 |
 		     (size_t)p[2] << 8 | (size_t)p[3];
-	if (len > (c->received ? FRAME_MAX_BYTES : FRAME_HELLO_MAX_BYTES))
+	if (len > (frame_verified(c) ? FRAME_MAX_BYTES : FRAME_HELLO_MAX_BYTES))
 		return -MW_ETOOBIG;
 	/* The MAC of an accepter's Hello covers the nonce of the dialer's. */
 	if (c->side == FRAME_DIALER && !c->sent)
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -30,8 +30,10 @@
 #define FRAME_HEADER_BYTES 4 /* payload length */
 
 /*
- * Maximum payload of a Hello, so that an unauthenticated connection cannot make
- * a process buffer more than a few kilobytes.
+ * Maximum payload of a frame until the other side is verified, so that it
+ * cannot make a process buffer more than a few kilobytes.  A dialer's Hello may
+ * be a replay, so the limit holds for the frame after it, too; a dialer sends
+ * one without a body.
  */
 #define FRAME_HELLO_MAX_BYTES 4096
 
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -179,7 +179,8 @@
 
 /*
  * Guards against a length field that makes a process buffer more than the
- * limit, which is lower before the Hello.
+ * limit, which is lower until the other side is verified: a Hello may be a
+ * replay.
  */
 START_TEST(test_oversize_is_refused_from_its_length)
 {
@@ -190,8 +191,12 @@
 	buf_add(&in, "\0\0\x10\x01", 4); /* FRAME_HELLO_MAX_BYTES + 1 */
 	ck_assert_int_eq(decode_frame(&c, &in), -MW_ETOOBIG);
 	handshake();
+	c = accepter;
+	ck_assert_int_eq(decode_frame(&c, &in), -MW_ETOOBIG);
+	ck_assert_int_eq(encode_frame(&dialer, 0, 1, &to_accepter), 0);
+	ck_assert_int_eq(decode_frame(&accepter, &to_accepter), 1);
 	ck_assert_int_eq(decode_frame(&accepter, &in),
-			 0); /* allowed after the Hello */
+			 0); /* allowed once it is verified */
 	buf_consume(&in, 4);
 	buf_add(&in, "\0\x40\0\x01", 4); /* FRAME_MAX_BYTES + 1 */
 	ck_assert_int_eq(decode_frame(&accepter, &in), -MW_ETOOBIG);
@@ -216,6 +221,8 @@
 	Mw__EndpointInfo empty = MW__ENDPOINT_INFO__INIT;
 
 	handshake();
+	ck_assert_int_eq(encode_frame(&dialer, 0, 1, &to_accepter), 0);
+	ck_assert_int_eq(decode_frame(&accepter, &to_accepter), 1);
 	grant.n_deltas = N;
 	grant.deltas = calloc(N, sizeof(*grant.deltas));
 	for (int i = 0; i < N; i++)
