httpd, fetch, relay: Count events and answers kept for slow readers, bound sockets

Events for a reader whose buffer is full, delayed events of a move and those of a move's target were bounded for each stream only, libmicrohttpd's buffer of a stream was not counted, collected bodies counted once although their buffers take twice as much while they grow, and the system let socket buffers grow to megabytes. Now: - httpd_keep() counts what the owner of a request keeps, as part of the request's answer. Without room a stream is continued by another endpoint if it is resumable and nothing waits for its caller; else its connection is closed, so that it does not look complete. A move's target whose events find no room counts as refused. - With a stated memory limit, connections of callers and to endpoints have SO_RCVBUF 64 KiB, SO_SNDBUF 128 KiB and TCP_NOTSENT_LOWAT 16 KiB. What the sockets of requests hold is counted every 0.25 s, and a paused transfer counts with all that may arrive. Without a limit nothing is set. - An answer is given to libmicrohttpd without a copy.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -266,6 +266,7 @@
 		.role = "entry",
 		.admin_addr = e->conf->admin_listen,
 		.incarnation = e->incarnation,
+		.budget = &e->memory,
 		.ops = {.up = peer_up, .down = peer_down, .frame = peer_frame},
 		.ctx = e,
 	};
@@ -288,6 +289,7 @@
 		.max_conns = conns,
 		.max_kept = conns / 5 * 4,
 		.budget = &e->memory,
+		.limit_sockets = c->memory_limit_mb > 0,
 	};
 	struct httpd_config admin = {
 		.max_body = 1 << 20, .max_requests = 256, .budget = &e->memory};
@@ -392,6 +394,8 @@
 	membudget_init(&e->memory, conf->memory_limit_mb);
 	e->fetcher = fetcher_new(loop, 0);
 	fetcher_set_budget(e->fetcher, &e->memory);
+	if (conf->memory_limit_mb > 0)
+		fetcher_limit_sockets(e->fetcher);
 	start_timers(e);
 	if ((r = open_events(e)) < 0 || (r = start_peers(e)) < 0 ||
 	    (r = session_start(e)) < 0 || (r = start_http(e)) < 0)
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -233,6 +233,8 @@
 				   .max_conns = conns,
 				   .max_kept = conns / 5 * 4,
 				   .budget = &f->memory,
+				   .limit_sockets =
+					   f->conf->memory_limit_mb > 0,
 				   .idle_timeout_s = IDLE_TIMEOUT_S,
 				   .conn_memory = f->iface->conn_memory_bytes};
 	struct httpd_config probe_cfg = {.max_conns = PROBE_CONNS_MAX};
@@ -281,6 +283,8 @@
 	membudget_init(&f->memory, conf->memory_limit_mb);
 	f->fetcher = fetcher_new(loop, IDLE_CONNS_MAX);
 	fetcher_set_budget(f->fetcher, &f->memory);
+	if (conf->memory_limit_mb > 0)
+		fetcher_limit_sockets(f->fetcher);
 	endpoints_start(f);
 	regions_load(f);
 	crashes_start(f);
--- a/src/forward/move.c
+++ b/src/forward/move.c
@@ -345,6 +345,8 @@
 		buf_add(&r->move.target_events, p, n);
 		if (is_planned(r) && !relay_event_is_cut(r))
 			switch_to_waiting_target(r, now);
+		else if (!relay_count_kept(r))
+			cancel_target(r, now);
 		else if (is_planned(r))
 			fetch_pause(r->move.target_fetch);
 		return;
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -68,6 +68,34 @@
 	}
 }
 
+bool relay_count_kept(struct request *r)
+{
+	size_t n = buf_unread(&r->partial_event) +
+		   buf_unread(&r->unsent_events) + r->delayed_bytes +
+		   buf_unread(&r->move.target_events);
+
+	if (buf_unread(&r->unsent_events) && r->fetch)
+		n += fetcher_paused_bytes(r->fwd->fetcher);
+	return httpd_keep(r->http, n);
+}
+
+/*
+ * The budget has no room for the events.  If none of them waits for the caller,
+ * another endpoint may continue the stream after the last one that was passed
+ * on.  Else the caller, whose stream ends as incomplete, may ask for the rest.
+ */
+static void end_without_room(struct request *r, int64_t now)
+{
+	if (!buf_unread(&r->unsent_events) && list_empty(&r->delayed) &&
+	    !relay_event_is_cut(r)) {
+		relay_drop_part(r);
+		if (request_continue(r, "no memory for its events", now))
+			return;
+	}
+	request_log(r, "no_event_memory", "cancelled", now);
+	httpd_shed(r->http);
+}
+
 /*
  * When a part of an event is passed on: later than now only while the stream
  * moves, see move_event_delay(), and until the delayed ones before it are.
@@ -83,37 +111,48 @@
 		list_entry(r->delayed.prev, struct delayed_part, node)->due_us);
 }
 
+static void delayed_free(struct request *r, struct delayed_part *d)
+{
+	r->delayed_bytes -= buf_unread(&d->bytes);
+	list_del(&d->node);
+	buf_release(&d->bytes);
+	g_free(d);
+}
+
+static void send_due(struct request *r, int64_t now)
+{
+	struct delayed_part *d, *tmp;
+
+	list_for_each_entry_safe (d, tmp, &r->delayed, node) {
+		if (d->due_us > now)
+			return;
+		write_to_caller(r, buf_head(&d->bytes), buf_unread(&d->bytes));
+		delayed_free(r, d);
+	}
+}
+
 static void pass_on(struct request *r, const char *p, size_t n, int64_t due_us,
 		    int64_t now)
 {
 	if (due_us <= now) {
-		relay_tick(r, now);
+		send_due(r, now);
 		write_to_caller(r, p, n);
 		return;
 	}
 	struct delayed_part *d = g_new0(struct delayed_part, 1);
 	d->due_us = due_us;
 	buf_add(&d->bytes, p, n);
+	r->delayed_bytes += n;
 	list_add_tail(&r->delayed, &d->node);
 }
 
-static void delayed_free(struct delayed_part *d)
-{
-	list_del(&d->node);
-	buf_release(&d->bytes);
-	g_free(d);
-}
-
 void relay_tick(struct request *r, int64_t now)
 {
-	struct delayed_part *d, *tmp;
-
-	list_for_each_entry_safe (d, tmp, &r->delayed, node) {
-		if (d->due_us > now)
-			return;
-		write_to_caller(r, buf_head(&d->bytes), buf_unread(&d->bytes));
-		delayed_free(d);
-	}
+	if (list_empty(&r->delayed))
+		return;
+	send_due(r, now);
+	if (!relay_count_kept(r))
+		httpd_shed(r->http);
 }
 
 void relay_release(struct request *r)
@@ -121,7 +160,7 @@
 	struct delayed_part *d, *tmp;
 
 	list_for_each_entry_safe (d, tmp, &r->delayed, node)
-		delayed_free(d);
+		delayed_free(r, d);
 }
 
 static void record_event_gap(struct request *r, int64_t now)
@@ -221,6 +260,8 @@
 		p += len;
 		n -= len;
 	}
+	if (!relay_count_kept(r))
+		end_without_room(r, now);
 }
 
 /* Ends an answer that is complete, and frees the request. */
@@ -293,6 +334,7 @@
 				       n) < 0)
 			return;
 		buf_consume(&r->unsent_events, n);
+		relay_count_kept(r);
 	}
 	if (r->stream_ended)
 		finish_stream(r, now);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -411,8 +411,8 @@
 		    now);
 	if (!r->answer.unframed)
 		crashes_request_served(r, now);
-	httpd_reply(r->http, r->status, (const char *const *)h->pdata,
-		    buf_head(&r->body), buf_unread(&r->body));
+	httpd_reply_buf(r->http, r->status, (const char *const *)h->pdata,
+			&r->body);
 	g_ptr_array_unref(h);
 	request_free(r);
 }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -137,6 +137,7 @@
 	struct buf unsent_events; /* the caller's buffer is full */
 	struct list delayed;	  /* struct delayed_part, after those of
 				     unsent_events */
+	size_t delayed_bytes;	  /* in delayed */
 	uint64_t last_event_id;	  /* of the events passed on or delayed */
 	uint64_t events;	  /* passed on or delayed */
 	int64_t first_event_us;
@@ -248,6 +249,11 @@
 void relay_drained(struct request *r, int64_t now);
 /* Passes on delayed events that are due. */
 void relay_tick(struct request *r, int64_t now);
+/*
+ * Counts the events that are kept for the caller, and what may arrive at the
+ * socket of a transfer that is paused; false if the memory has no room.
+ */
+bool relay_count_kept(struct request *r);
 /* Frees the delayed events. */
 void relay_release(struct request *r);
 /* Aborts the caller's connection, so that the stream does not look complete,
--- a/src/net/fetch.c
+++ b/src/net/fetch.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/list.h"
 #include "net/bytes_read.h"
+#include "net/sockbuf.h"
 
 /*
  * libcurl rejects most calls from inside its own callbacks.  So starts,
@@ -49,6 +50,8 @@
  * they grow, may take twice as much: a quarter of the smallest host's memory.
  */
 #define BODIES_MAX_BYTES ((size_t)12 << 20)
+/* What a body takes while its buffer grows. */
+#define BODY_COPIES 2
 /* Body passed on before other work of the loop is done; libcurl reads on while
  * the server sends faster than that. */
 #define BURST_BYTES ((size_t)128 << 10)
@@ -66,6 +69,7 @@
 	struct list free_transfers; /* ended, for fetch_alloc() */
 	CURL *spare[SPARE_HANDLES];
 	int n_spare;
+	bool limit_sockets;
 	int curl_depth;	   /* depth of calls into libcurl */
 	size_t head_bytes; /* of all transfers */
 	size_t body_bytes; /* of all transfers that have a limit */
@@ -114,6 +118,13 @@
 	}
 }
 
+/* Counts the bodies that owners collect; whether there is room. */
+static bool count_bodies(struct fetcher *fr)
+{
+	return membudget_set(&fr->mem, fr->body_bytes * BODY_COPIES,
+			     clock_mono_us());
+}
+
 static void fetch_end(struct fetch *f)
 {
 	struct fetcher *fr = f->fr;
@@ -131,7 +142,7 @@
 	f->head_bytes = 0;
 	fr->body_bytes -= f->collected_bytes;
 	f->collected_bytes = 0;
-	membudget_set(&fr->mem, fr->body_bytes, clock_mono_us());
+	count_bodies(fr);
 	list_del(&f->pending_link);
 	list_del(&f->link);
 	list_add(&fr->free_transfers, &f->link);
@@ -401,8 +412,7 @@
 		f->fault = "body too large";
 		return false;
 	}
-	if (f->fr->body_bytes <= BODIES_MAX_BYTES &&
-	    membudget_set(&f->fr->mem, f->fr->body_bytes, clock_mono_us()))
+	if (f->fr->body_bytes <= BODIES_MAX_BYTES && count_bodies(f->fr))
 		return true;
 	list_for_each_entry (other, &f->fr->transfers, link)
 		if (other->collected_bytes > largest->collected_bytes &&
@@ -444,6 +454,24 @@
 	membudget_add(b, &fr->mem, MEMBUDGET_HELD, 0, clock_mono_us());
 }
 
+void fetcher_limit_sockets(struct fetcher *fr)
+{
+	fr->limit_sockets = true;
+}
+
+size_t fetcher_paused_bytes(const struct fetcher *fr)
+{
+	return fr->limit_sockets ? 2 * SOCKBUF_RECEIVE_BYTES : 0;
+}
+
+static int on_curl_socket_made(void *cls, curl_socket_t fd, curlsocktype type)
+{
+	(void)cls;
+	(void)type;
+	sockbuf_limit(fd);
+	return CURL_SOCKOPT_OK;
+}
+
 struct fetcher *fetcher_new(struct ev_loop *loop, int max_idle)
 {
 	struct fetcher *fr = g_new0(struct fetcher, 1);
@@ -586,6 +614,9 @@
 	curl_easy_setopt(e, CURLOPT_XFERINFODATA, f);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, f);
+	if (fr->limit_sockets)
+		curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION,
+				 on_curl_socket_made);
 	set_method(f, spec);
 	set_headers(f, spec);
 	add_pending(f);
--- a/src/net/fetch.h
+++ b/src/net/fetch.h
@@ -78,6 +78,12 @@
 /* Bodies that owners collect draw on the budget from now on. */
 void fetcher_set_budget(struct fetcher *fr, struct membudget *b);
 
+/* Bounds the sockets' buffers (sockbuf.h) of connections made from now on. */
+void fetcher_limit_sockets(struct fetcher *fr);
+
+/* Bytes that may arrive while a transfer is paused; 0: no bound. */
+size_t fetcher_paused_bytes(const struct fetcher *fr);
+
 /* Cancels all transfers and frees fr; not inside a callback. */
 void fetcher_free(struct fetcher *fr);
 
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -21,6 +21,7 @@
 #include "base/list.h"
 #include "base/log.h"
 #include "net/bytes_read.h"
+#include "net/sockbuf.h"
 #include "obs/counter.h"
 
 /*
@@ -147,8 +148,10 @@
 	int fd;
 	struct tcp_conn *tcp;
 	struct membudget_holder mem;
-	size_t reply_bytes; /* of a complete answer */
-	size_t max_body;    /* in force when its headers were complete */
+	size_t reply_bytes;  /* of a complete answer */
+	size_t kept_bytes;   /* by the owner, see httpd_keep() */
+	size_t queued_bytes; /* in the socket, when last looked at */
+	size_t max_body;     /* in force when its headers were complete */
 	ev_io close_watch;
 	enum req_state state;
 	enum httpd_closer closer; /* in REQ_CLOSED */
@@ -256,10 +259,24 @@
 	/* libcurl copies the body for each attempt. */
 	return membudget_set(&req->mem,
 			     (in_work ? 2 * body + REQUEST_BYTES : body) +
-				     buf_unread(&req->out) + req->reply_bytes,
+				     buf_unread(&req->out) + req->reply_bytes +
+				     req->kept_bytes + req->queued_bytes,
 			     clock_mono_us());
 }
 
+bool httpd_keep(struct httpd_req *req, size_t n)
+{
+	size_t before = req->kept_bytes;
+
+	if (n == before)
+		return !req->shed;
+	req->kept_bytes = n;
+	if (update_memory(req))
+		return true;
+	req->kept_bytes = before;
+	return false;
+}
+
 static void set_memory_kind(struct httpd_req *req, enum membudget_kind kind)
 {
 	if (req->mem.kind != kind)
@@ -671,6 +688,8 @@
 		n = max;
 	memcpy(dst, buf_head(&req->out), n);
 	buf_consume(&req->out, n);
+	/* libmicrohttpd sends a stream by way of the same buffer. */
+	count_buffer(req, n);
 	membudget_progress(&req->mem, n, clock_mono_us());
 	if (!buf_unread(&req->out))
 		set_memory_kind(req, MEMBUDGET_HELD);
@@ -801,6 +820,23 @@
 	}
 }
 
+/* Counts what the sockets of requests hold besides. */
+static void count_sockets(struct httpd *h)
+{
+	struct httpd_req *req;
+
+	list_for_each_entry (req, &h->reqs, link) {
+		if (req->shed || req->state == REQ_CLOSED)
+			continue;
+		size_t n = sockbuf_queued(req->fd);
+		if (n == req->queued_bytes)
+			continue;
+		req->queued_bytes = n;
+		if (!update_memory(req) && req->mem.kind != MEMBUDGET_HELD)
+			on_req_shed(req);
+	}
+}
+
 /* Whether no request is open or arrives on a connection, for so long that it
  * may be closed for others. */
 static bool is_surplus(const struct tcp_conn *tcp, int64_t now)
@@ -878,6 +914,8 @@
 	if (!h->cfg.budget)
 		return;
 	check_headers(h, now);
+	if (h->cfg.limit_sockets)
+		count_sockets(h);
 	list_for_each_entry (req, &h->reqs, link)
 		if (req->state == REQ_READING &&
 		    membudget_is_expired(&req->mem, now))
@@ -945,7 +983,7 @@
 }
 
 /* Returns a listening socket and sets *port, or a negative value. */
-static int open_listener(const char *ip, int *port)
+static int open_listener(const char *ip, int *port, bool limit_sockets)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET,
 				 .sin_port = htons((uint16_t)*port)};
@@ -959,6 +997,8 @@
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (limit_sockets)
+		sockbuf_limit(fd);
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(fd, LISTEN_BACKLOG) ||
 	    getsockname(fd, (struct sockaddr *)&sa, &sa_len))
@@ -985,7 +1025,7 @@
 	      const struct httpd_config *cfg, httpd_handler *handler, void *ctx,
 	      struct httpd **out)
 {
-	int fd = open_listener(ip, &port);
+	int fd = open_listener(ip, &port, cfg && cfg->limit_sockets);
 
 	if (fd < 0) {
 		log_error("httpd", "cannot listen on %s:%d: %s", ip, port,
@@ -1217,6 +1257,18 @@
 	return req->body.data ? buf_head(&req->body) : "";
 }
 
+static void finish_reply(struct httpd_req *req, int status, size_t len)
+{
+	req->status = status;
+	req->state = REQ_REPLIED;
+	req->reply_bytes = len;
+	set_memory_kind(req, MEMBUDGET_ANSWER);
+	if (!update_memory(req))
+		on_req_shed(req);
+	ev_io_stop(req->h->loop, &req->close_watch);
+	req_resume(req);
+}
+
 void httpd_reply(struct httpd_req *req, int status, const char *const *headers,
 		 const void *body, size_t len)
 {
@@ -1225,16 +1277,28 @@
 	req->response = MHD_create_response_from_buffer(
 		len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
 	set_headers(req->response, headers);
-	req->status = status;
-	req->state = REQ_REPLIED;
-	req->reply_bytes = len;
 	/* body may be a part of it, and was copied. */
 	httpd_drop_body(req);
-	set_memory_kind(req, MEMBUDGET_ANSWER);
-	if (!update_memory(req))
-		on_req_shed(req);
-	ev_io_stop(req->h->loop, &req->close_watch);
-	req_resume(req);
+	finish_reply(req, status, len);
+}
+
+void httpd_reply_buf(struct httpd_req *req, int status,
+		     const char *const *headers, struct buf *body)
+{
+	size_t len = buf_unread(body);
+
+	/* Only a buffer that begins with its bytes can be given away. */
+	if (!len || body->off) {
+		httpd_reply(req, status, headers, buf_head(body), len);
+		return;
+	}
+	assert(req->state == REQ_OWNED);
+	req->response = MHD_create_response_from_buffer(
+		len, g_realloc(body->data, len), MHD_RESPMEM_MUST_FREE);
+	*body = (struct buf)BUF_INIT;
+	set_headers(req->response, headers);
+	httpd_drop_body(req);
+	finish_reply(req, status, len);
 }
 
 void httpd_stream_begin(struct httpd_req *req, int status,
@@ -1275,6 +1339,11 @@
 	req_resume(req);
 }
 
+void httpd_shed(struct httpd_req *req)
+{
+	on_req_shed(req);
+}
+
 void httpd_abort(struct httpd_req *req)
 {
 	assert(req_is_owned(req));
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -7,6 +7,7 @@
 #include <sys/types.h>
 #include <ev.h>
 
+#include "base/buf.h"
 #include "policy/membudget.h"
 
 /*
@@ -62,6 +63,11 @@
 	 * that trickles is ended after MEMBUDGET_TRICKLE_MAX_US.
 	 */
 	struct membudget *budget;
+	/*
+	 * Bounds the sockets' buffers (sockbuf.h), and counts what they hold
+	 * for open requests, every 0.25 s.  Needs budget.
+	 */
+	bool limit_sockets;
 };
 
 /* Who ended a connection before its answer was complete. */
@@ -178,6 +184,10 @@
 void httpd_reply(struct httpd_req *req, int status, const char *const *headers,
 		 const void *body, size_t len);
 
+/* The same with the bytes of a buffer, which is empty afterwards. */
+void httpd_reply_buf(struct httpd_req *req, int status,
+		     const char *const *headers, struct buf *body);
+
 /* Starts a streamed answer; headers are copied. */
 void httpd_stream_begin(struct httpd_req *req, int status,
 			const char *const *headers);
@@ -192,6 +202,17 @@
 /* Ends the stream after its buffered bytes are sent. */
 void httpd_stream_end(struct httpd_req *req);
 
+/*
+ * Counts n bytes that the owner keeps for the request in all, besides what was
+ * passed to this module, for example of a stream whose buffer is full.  Returns
+ * false if the budget has no room: it then counts as many as before, and the
+ * owner has to do without them.
+ */
+bool httpd_keep(struct httpd_req *req, size_t n);
+
+/* Closes the connection for want of memory; `closed` is called later. */
+void httpd_shed(struct httpd_req *req);
+
 /* Closes the connection without completing the answer; no `closed` call. */
 void httpd_abort(struct httpd_req *req);
 
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -741,6 +741,40 @@
 }
 END_TEST
 
+/* Guards against bytes that an owner keeps for a slow reader and nobody counts,
+ * and against a stream that looks complete although it was cut for want of
+ * memory. */
+START_TEST(test_kept_bytes)
+{
+	struct membudget budget;
+	size_t before;
+
+	membudget_init(&budget, 16); /* 10 MB for clients */
+	replace_server(&(struct httpd_config){.budget = &budget,
+					      .limit_sockets = true});
+	struct call *c = start(0, "GET", "/stream", NULL, 0);
+	RUN_UNTIL(open_req);
+	before = budget.used;
+	ck_assert(httpd_keep(open_req, 5000000));
+	ck_assert_uint_eq(budget.used, before + 5000000);
+	ck_assert(!httpd_keep(open_req, 11000000));
+	ck_assert_uint_eq(budget.used, before + 5000000);
+	ck_assert(httpd_keep(open_req, 1000));
+	ck_assert_int_gt(httpd_stream_write(open_req, "x", 1), 0);
+	httpd_shed(open_req);
+	ck_assert_int_eq(closed, 0);
+	RUN_UNTIL(closed == 1);
+	ck_assert_int_eq(closer, HTTPD_SERVER);
+	RUN_UNTIL(c->done);
+	ck_assert_int_eq(c->r.err, FETCH_BROKEN);
+	RUN_UNTIL(!httpd_open_requests(server));
+	ck_assert_uint_lt(budget.used, 5000);
+	replace_server(NULL);
+	ck_assert_uint_eq(budget.used, 0);
+	membudget_release(&budget);
+}
+END_TEST
+
 /* Guards against limits of a published document that do not hold, and against a
  * limit that it has withdrawn. */
 START_TEST(test_sizes)
@@ -812,6 +846,7 @@
 	tcase_add_test(tc, test_bodies_are_bounded_together);
 	tcase_add_test(tc, test_budget_sheds_unfinished_bodies);
 	tcase_add_test(tc, test_header_time);
+	tcase_add_test(tc, test_kept_bytes);
 	tcase_add_test(tc, test_sizes);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
