control: Count documents after their arrival

A publication draws on the budget of memory with three times its length until it is committed or refused, and is refused with queue_full, not run, if there is no room. With a stated limit the sockets of the interface are bounded and counted.

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -445,6 +445,19 @@
 
 /* ---- loop ---- */
 
+/*
+ * What is committed is kept whatever the memory is, within its own bounds: log
+ * and snapshot (ctl_log.c) and CTL_VERSIONS_BYTES.  It is counted, so that
+ * clients get the less the more it takes.
+ */
+static void count_state(struct ctl *c, int64_t now)
+{
+	membudget_set(&c->state_memory,
+		      rep_log_bytes(c->rep) + c->last_snapshot_bytes +
+			      c->versions_bytes + c->compressed_document.len,
+		      now);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	struct ctl *c = w->data;
@@ -466,6 +479,7 @@
 		ctl_roster_tick(c->roster, now);
 	ctl_evacuate_tick(c, now);
 	ctl_document_tick(c, now);
+	count_state(c, now);
 	ctl_feed_tick(c->feed, now);
 	if (c->poll)
 		ctl_poll_tick(c->poll, now);
@@ -574,6 +588,7 @@
 		.admin_addr = c->conf->admin_listen,
 		.incarnation = c->incarnation,
 		.voter = (uint32_t)c->conf->voter,
+		.budget = &c->memory,
 		.ops = {.up = on_peer_up,
 			.down = on_peer_down,
 			.frame = on_frame},
@@ -633,6 +648,8 @@
 				   .max_conns = conns,
 				   .max_kept = conns / 5 * 4,
 				   .budget = &c->memory,
+				   .limit_sockets =
+					   c->conf->memory_limit_mb > 0,
 				   .conn_memory = IFACE_CONN_MEMORY_BYTES};
 
 	return httpd_new(c->loop, a->ip, a->port, &cfg,
@@ -663,7 +680,11 @@
 	c->boot_incarnations = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, NULL);
 	membudget_init(&c->memory, conf->memory_limit_mb);
+	membudget_add(&c->memory, &c->state_memory, MEMBUDGET_HELD, 0,
+		      clock_mono_us());
 	c->fetcher = fetcher_new(loop, 0);
+	if (conf->memory_limit_mb > 0)
+		fetcher_limit_sockets(c->fetcher);
 	if (g_mkdir_with_parents(conf->data, 0700) < 0) {
 		log_error("disk", "cannot create %s", conf->data);
 		return -MW_EIO;
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -89,6 +89,7 @@
 	struct admin admin_api;
 	struct fetcher *fetcher;
 	struct membudget memory; /* what clients make this process hold */
+	struct membudget_holder state_memory; /* of the replicated state */
 	struct event_ring *events;
 
 	struct disk *disk;
@@ -99,6 +100,7 @@
 			   committed; before, no host gets its tree */
 	/* Slot: version % CTL_VERSIONS_KEPT. */
 	struct tree *versions[CTL_VERSIONS_KEPT];
+	size_t versions_bytes; /* their JSON forms */
 	struct {
 		char name[64];
 		uint64_t revision;
--- a/src/control/ctl_change.c
+++ b/src/control/ctl_change.c
@@ -356,7 +356,7 @@
 static void drop_large_versions(struct ctl *c)
 {
 	uint64_t newest = tree_version(sm_tree(c->sm));
-	size_t bytes = 0;
+	size_t bytes = 0, kept = 0;
 
 	for (uint64_t age = 0; age < CTL_VERSIONS_KEPT; age++) {
 		struct tree **slot =
@@ -368,7 +368,10 @@
 		bytes += len;
 		if (age && bytes > CTL_VERSIONS_BYTES)
 			g_clear_pointer(slot, tree_unref);
+		else
+			kept += len;
 	}
+	c->versions_bytes = kept;
 }
 
 void ctl_keep_version(struct ctl *c)
--- a/src/control/ctl_document.c
+++ b/src/control/ctl_document.c
@@ -23,8 +23,13 @@
 /* A host asks another process when it has got no answer for 0.8 s. */
 #define HOST_WAIT_US (700 * USEC_PER_MSEC)
 
+/* A publication's body, the JSON form of it in the change, and its entry in the
+ * log are in memory at the same time. */
+#define PUBLICATION_COPIES 3
+
 struct publication {
 	struct list node;
+	struct membudget_holder mem;
 	struct ctl *ctl;
 	char name[64];
 	uint64_t revision;
@@ -87,6 +92,7 @@
 	slog_str(&l, "outcome", err < 0 ? err_info(err)->kind : outcome);
 	slog_end(&l);
 	p->fn(err, NULL, 0, p->ctx);
+	membudget_remove(&p->mem);
 	g_free(p->body);
 	g_free(p);
 }
@@ -195,6 +201,14 @@
 		return;
 	}
 	p = g_new0(struct publication, 1);
+	membudget_add(&c->memory, &p->mem, MEMBUDGET_HELD, 0, clock_mono_us());
+	if (!membudget_set(&p->mem, len * PUBLICATION_COPIES,
+			   clock_mono_us())) {
+		membudget_remove(&p->mem);
+		g_free(p);
+		fn(-MW_EQUEUEFULL, NULL, 0, ctx);
+		return;
+	}
 	p->ctl = c;
 	g_strlcpy(p->name, name, sizeof(p->name));
 	p->revision = revision;
