entry: Count the output that slow readers of streams have not taken

As on the platform's hosts, a stream without room is closed, so that it looks incomplete, and a paused transfer counts with what may arrive at its socket.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -191,6 +191,7 @@
 		if (n < 0)
 			return;
 		buf_consume(&r->unsent_output, buf_unread(&r->unsent_output));
+		httpd_keep(http, 0);
 	}
 	if (r->finished) {
 		httpd_stream_end(http);
--- a/src/entry/stream.c
+++ b/src/entry/stream.c
@@ -244,6 +244,10 @@
 		return;
 	/* The caller reads slowly: the endpoint keeps the rest. */
 	buf_add(&r->unsent_output, buf_head(b), buf_unread(b));
+	if (!httpd_keep(r->http,
+			buf_unread(&r->unsent_output) +
+				fetcher_paused_bytes(r->entry->fetcher)))
+		httpd_shed(r->http);
 	if (!r->paused && r->fetch) {
 		r->paused = true;
 		fetch_pause(r->fetch);
--- a/tests/crowd_lib.sh
+++ b/tests/crowd_lib.sh
@@ -45,7 +45,7 @@
 	watch_end=$(($(date +%s) + $2))
 	while [ "$(date +%s)" -lt "$watch_end" ]; do
 		q=$(queued_kb "$1")
-		[ "${q:-0}" -le $QUEUED_KB ] || QUEUED_KB=$q
+		[ "${q:-0}" -le "$QUEUED_KB" ] || QUEUED_KB=$q
 		sleep 0.5
 	done
 }
