--- a/src/forward/quota.c
+++ b/src/forward/quota.c
@@ -40,6 +40,12 @@
 	return true;
 }
 
+uint64_t quota_worthwhile_tokens(uint64_t memory_tokens, int64_t wait_us)
+{
+	return (uint64_t)((double)memory_tokens * (double)wait_us /
+			  MEMORY_HELD_US);
+}
+
 bool quota_wait_is_worthwhile(uint64_t queued_tokens, uint64_t memory_tokens,
 			      int64_t wait_us)
 {
--- a/src/forward/quota.h
+++ b/src/forward/quota.h
@@ -59,6 +59,10 @@
 uint64_t quota_queued_elsewhere(uint64_t own_tokens, uint64_t reported_tokens,
 				int64_t reported_age_us, unsigned int n_hosts);
 
+/* Tokens that are likely to be placed within wait_us, given the memory of all
+ * endpoints. */
+uint64_t quota_worthwhile_tokens(uint64_t memory_tokens, int64_t wait_us);
+
 /*
  * Whether a new request is likely to be placed within wait_us.  queued_tokens
  * wait on all hosts; memory_tokens is the memory of all endpoints.
