queue: Share room among client accounts while it is short

Quotas of hosts, the order of the queue and who is rejected first did not know accounts. Hosts now report by account what is used, queued and was refused lately (QueueRow.accounts, at most 64 rows), control processes add it up, and queue.c divides by account_share.h. Rows travel only while room is short; with one account, or with account-shares=0, decisions are as before.

--- a/src/conf/conf.c
+++ b/src/conf/conf.c
@@ -260,6 +260,8 @@
 	if (c->cold_overshoot_percent < 0 || c->cold_overshoot_percent > 10000)
 		return fail(error, "--cold-overshoot-percent must be from 0 to "
 				   "10000");
+	if (c->account_shares < 0 || c->account_shares > 1)
+		return fail(error, "--account-shares must be 0 or 1");
 	if (c->cold_slack < 0 || c->cold_slack > 1000000)
 		return fail(error, "--cold-slack must be from 0 to 1000000");
 	if (c->log_level < 3 || c->log_level > 7)
--- a/src/control/use.c
+++ b/src/control/use.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <glib.h>
 
+#include "wire/account_rows.h"
+
 struct use_host {
 	Mw__UseReport *report;
 	int64_t last_report_us;
@@ -19,8 +21,10 @@
 };
 
 struct use_table {
-	GHashTable *hosts; /* host name to struct use_host */
-	GHashTable *sums;  /* endpoint id to struct endpoint_sum */
+	GHashTable *hosts;    /* host name to struct use_host */
+	GHashTable *sums;     /* endpoint id to struct endpoint_sum */
+	GHashTable *accounts; /* service to GPtrArray of Mw__AccountRow, the
+				 sums over all hosts */
 	bool has_changes;
 };
 
@@ -48,6 +52,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
 	u->sums =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, sum_free);
+	u->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_ptr_array_unref);
 	return u;
 }
 
@@ -55,6 +61,7 @@
 {
 	g_hash_table_destroy(u->hosts);
 	g_hash_table_destroy(u->sums);
+	g_hash_table_destroy(u->accounts);
 	g_free(u);
 }
 
@@ -238,6 +245,24 @@
 	mark_changed_rows(u, h->report, NULL);
 }
 
+static void add_accounts(struct use_table *u, const Mw__QueueRow *queue)
+{
+	GPtrArray *rows = g_hash_table_lookup(u->accounts, queue->service);
+
+	if (!queue->n_accounts)
+		return;
+	if (!rows) {
+		rows = account_rows_new();
+		g_hash_table_insert(u->accounts, g_strdup(queue->service),
+				    rows);
+	}
+	/* A row too many from a host of another version is not counted. */
+	for (size_t i = 0; i < MIN(queue->n_accounts, ACCOUNT_ROWS_MAX); i++)
+		account_row_add(
+			account_rows_get(rows, queue->accounts[i]->account),
+			queue->accounts[i]);
+}
+
 void use_update_sums(struct use_table *u, int64_t now)
 {
 	GHashTableIter iter;
@@ -248,6 +273,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&h))
 		expire_host(u, h, now);
 	g_hash_table_foreach_remove(u->sums, reset_sum, NULL);
+	g_hash_table_remove_all(u->accounts);
 	g_hash_table_iter_init(&iter, u->hosts);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&h)) {
 		for (size_t i = 0; h->in_sums && i < h->report->n_rows; i++) {
@@ -257,6 +283,8 @@
 			add_limit(sum, row,
 				  (uint64_t)(now - h->last_report_us) / 1000);
 		}
+		for (size_t i = 0; h->in_sums && i < h->report->n_queues; i++)
+			add_accounts(u, h->report->queues[i]);
 	}
 }
 
@@ -278,16 +306,16 @@
 	q->tokens += part->tokens;
 }
 
-static Mw__QueueRow *get_queue(Mw__UseTotals *t, const Mw__QueueRow *row)
+static Mw__QueueRow *get_queue(Mw__UseTotals *t, char *service)
 {
 	Mw__QueueRow *sum;
 
 	for (size_t i = 0; i < t->n_queues; i++)
-		if (!strcmp(t->queues[i]->service, row->service))
+		if (!strcmp(t->queues[i]->service, service))
 			return t->queues[i];
 	sum = g_new0(Mw__QueueRow, 1);
 	mw__queue_row__init(sum);
-	sum->service = row->service;
+	sum->service = service;
 	t->queues = g_renew(Mw__QueueRow *, t->queues, t->n_queues + 1);
 	t->queues[t->n_queues++] = sum;
 	return sum;
@@ -295,7 +323,7 @@
 
 static void add_queue(Mw__UseTotals *t, const Mw__QueueRow *row)
 {
-	Mw__QueueRow *sum = get_queue(t, row);
+	Mw__QueueRow *sum = get_queue(t, row->service);
 
 	sum->tokens += row->tokens;
 	sum->arrivals += row->arrivals;
@@ -324,6 +352,44 @@
 	}
 }
 
+static const Mw__QueueRow *find_queue(const struct use_host *h,
+				      const char *service)
+{
+	for (size_t i = 0; h && h->in_sums && i < h->report->n_queues; i++)
+		if (!strcmp(h->report->queues[i]->service, service))
+			return h->report->queues[i];
+	return NULL;
+}
+
+/* Adds the sums by client account of all hosts but `except`. */
+static void add_account_sums(struct use_table *u, const struct use_host *except,
+			     Mw__UseTotals *t)
+{
+	GHashTableIter iter;
+	void *service;
+	GPtrArray *sums;
+
+	g_hash_table_iter_init(&iter, u->accounts);
+	while (g_hash_table_iter_next(&iter, &service, (void **)&sums)) {
+		const Mw__QueueRow *own = find_queue(except, service);
+		GPtrArray *rows = account_rows_new();
+
+		for (guint i = 0; i < sums->len; i++) {
+			const Mw__AccountRow *sum = sums->pdata[i];
+			account_row_add(account_rows_get(rows, sum->account),
+					sum);
+		}
+		for (size_t i = 0;
+		     own && i < MIN(own->n_accounts, ACCOUNT_ROWS_MAX); i++)
+			account_row_subtract(
+				account_rows_get(rows,
+						 own->accounts[i]->account),
+				own->accounts[i]);
+		account_rows_bound(rows);
+		account_rows_move(rows, get_queue(t, service));
+	}
+}
+
 /*
  * Returns the sums to send to a host (which may be NULL), without its own work,
  * by endpoint: all of them, or those that changed.  The caller frees the rows.
@@ -366,6 +432,7 @@
 	mw__use_totals__init(t);
 	t->partial = !full;
 	add_hosts_and_queues(u, h, t);
+	add_account_sums(u, h, t);
 	t->rows = g_new0(Mw__UseRow *, g_hash_table_size(rows) + 1);
 	g_hash_table_iter_init(&iter, rows);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
@@ -391,6 +458,7 @@
 		for (size_t j = 0; j < t->queues[i]->n_restricted; j++)
 			g_free(t->queues[i]->restricted[j]);
 		g_free(t->queues[i]->restricted);
+		account_rows_free_moved(t->queues[i]);
 		g_free(t->queues[i]);
 	}
 	g_free(t->queues);
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -8,6 +8,7 @@
 #include "forward/request.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
+#include "wire/account_rows.h"
 
 /*
  * Endpoints that are reclaimed together announce it within this time of each
@@ -45,6 +46,16 @@
 
 static void on_row_changed(const struct registry_row *row, void *arg);
 
+static void service_state_free(void *p)
+{
+	struct service_state *s = p;
+
+	for (size_t i = 0; i < s->n_quotas; i++)
+		g_free(s->quotas[i].accounts);
+	accounts_release(&s->accounts);
+	g_free(s);
+}
+
 void endpoints_start(struct fwd *f)
 {
 	owner_checks_start(f);
@@ -52,8 +63,8 @@
 	registry_watch(f->registry, on_row_changed, f);
 	f->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     endpoint_free);
-	f->services =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    service_state_free);
 	f->n_hosts = HOSTS_ASSUMED;
 }
 
@@ -241,13 +252,14 @@
 	return NULL;
 }
 
-static void apply_queue(struct fwd *f, const Mw__QueueRow *row)
+static void apply_queue(struct fwd *f, const Mw__QueueRow *row, int64_t now)
 {
 	static const struct residency anywhere = {0};
 	struct service_state *s = endpoints_service_state(f, row->service);
 	uint64_t restricted = 0;
 
 	s->arrivals_elsewhere = row->arrivals;
+	accounts_apply(f, &s->accounts, row, now);
 	for (size_t i = 0; i < row->n_restricted; i++) {
 		const Mw__RegionQueue *q = row->restricted[i];
 		struct residency allowed = regions_parse(f, q->regions);
@@ -286,9 +298,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s)) {
 		s->queued_elsewhere = (struct demands){0};
 		s->arrivals_elsewhere = 0;
+		accounts_clear_elsewhere(&s->accounts);
 	}
 	for (size_t i = 0; i < totals->n_queues; i++)
-		apply_queue(f, totals->queues[i]);
+		apply_queue(f, totals->queues[i], now);
 	if (load_decreased)
 		request_place_waiting(f, now);
 }
@@ -381,11 +394,15 @@
 			reports_arrivals(f, name)
 				? rate_window_count(&s->arrivals, now)
 				: 0;
-		if (!queued.n && !arrivals)
-			continue;
 		Mw__QueueRow *row = g_new0(Mw__QueueRow, 1);
 		mw__queue_row__init(row);
 		row->service = name;
+		accounts_report(f, name, row, now);
+		if (!queued.n && !arrivals && !row->n_accounts) {
+			account_rows_free_moved(row);
+			g_free(row);
+			continue;
+		}
 		report_queue(f, &queued, row);
 		row->arrivals = arrivals;
 		r->queues[r->n_queues++] = row;
@@ -403,6 +420,7 @@
 			g_free(row->restricted[j]);
 		}
 		g_free(row->restricted);
+		account_rows_free_moved(row);
 		g_free(row);
 	}
 	g_free(r->queues);
@@ -720,6 +738,7 @@
 	if (!s) {
 		s = g_new0(struct service_state, 1);
 		budget_init(&s->budget, &all, f->n_hosts);
+		accounts_init(&s->accounts);
 		g_hash_table_insert(f->services, g_strdup(service), s);
 	}
 	budget_set_hosts(&s->budget, &all, MAX(f->n_hosts, 2u));
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -151,6 +151,7 @@
 {
 	(void)loop;
 	(void)revents;
+	request_refuse_displaced(w->data, clock_mono_us());
 	control_link_flush(w->data, clock_mono_us());
 }
 
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -9,6 +9,7 @@
 #include "base/hlc.h"
 #include "base/list.h"
 #include "conf/conf.h"
+#include "forward/accounts.h"
 #include "forward/budget.h"
 #include "forward/demand.h"
 #include "forward/drain.h"
@@ -123,8 +124,16 @@
 	struct region_quota {
 		struct residency allowed;
 		struct quota quota;
+		/* Its parts by account, while room is short; none if only one
+		 * account asks for it. */
+		struct account_quota {
+			const struct account_state *account;
+			double left_tokens;
+		} * accounts;
+		size_t n_accounts;
 	} quotas[DEMANDS_MAX];
 	size_t n_quotas;
+	struct accounts accounts;
 	struct demands queued_elsewhere; /* in the queues of other hosts */
 	struct rate_window arrivals;	 /* requests of callers */
 	unsigned int arrivals_elsewhere; /* lately, on other hosts */
@@ -192,7 +201,9 @@
 	struct list waiting;	  /* for an endpoint, by rank, then arrival */
 	struct list source_stops; /* orders that are not answered */
 	size_t n_requests;
+	bool waiting_by_account; /* not by arrival */
 	size_t n_waiting;
+	size_t n_displaced; /* of them, to be refused */
 	size_t n_unadmitted;
 
 	struct crashes *crashes;  /* crashes.c */
@@ -370,6 +381,8 @@
 			  int64_t now);
 /* Refuses the waiting requests whose service has only evacuated endpoints. */
 void request_refuse_evacuated(struct fwd *f, int64_t now);
+/* Refuses waiting requests whose place others have got. */
+void request_refuse_displaced(struct fwd *f, int64_t now);
 /* Tries to place the requests that wait. */
 void request_place_waiting(struct fwd *f, int64_t now);
 
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -1,5 +1,6 @@
 #include "forward/crashes.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
@@ -14,6 +15,12 @@
  * take.  Each host then places them within a quota of the free room (quota.h).
  * A request that would wait too long is refused at once, so that its caller has
  * time to retry.
+ *
+ * While room is short, client accounts share it (account_share.h): the quota of
+ * a host is divided among the accounts of its queue, requests of equal rank go
+ * by what their accounts use, and a request of an account within its share is
+ * not refused while one of an account above its share waits here.  Urgent
+ * generations precede deferrable ones of equal rank then.
  */
 
 /*
@@ -33,6 +40,13 @@
 /* Requests that may wait on one host; further ones are refused at once. */
 #define QUEUE_MAX 256
 
+/* Interval at which the order of the queue by account is computed again; sums
+ * of other hosts arrive every 0.1 s. */
+#define ORDER_INTERVAL_US (100 * USEC_PER_MSEC)
+
+/* Shortest time between two log lines on the shares of one service. */
+#define SHARE_LOG_INTERVAL_US (1 * USEC_PER_SEC)
+
 static void enqueue_waiting(struct request *r)
 {
 	struct fwd *f = r->fwd;
@@ -64,7 +78,7 @@
 	struct request *r;
 
 	list_for_each_entry (r, &f->waiting, wait_node)
-		if (is_deferrable(r) && !r->held &&
+		if (is_deferrable(r) && !r->held && !r->displaced &&
 		    !strcmp(r->service->name, service))
 			demand_add(&d, request_residency(r), r->need_tokens);
 	return d;
@@ -108,8 +122,8 @@
 }
 
 /* The quota of the set of regions; further sets share the last one. */
-static struct quota *quota_of(struct service_state *s,
-			      const struct residency *allowed)
+static struct region_quota *quota_of(struct service_state *s,
+				     const struct residency *allowed)
 {
 	size_t i = 0;
 
@@ -117,14 +131,73 @@
 	       !residency_equal(&s->quotas[i].allowed, allowed))
 		i++;
 	if (i == DEMANDS_MAX)
-		return &s->quotas[i - 1].quota;
+		return &s->quotas[i - 1];
 	if (i == s->n_quotas)
 		s->quotas[s->n_quotas++] =
 			(struct region_quota){.allowed = *allowed};
-	return &s->quotas[i].quota;
+	return &s->quotas[i];
+}
+
+/* Logs the account that asks for most above its share. */
+static void log_shares(struct request *r, const struct account_claims *c,
+		       double amount, double level, int64_t now)
+{
+	struct fwd *f = r->fwd;
+	struct accounts *a =
+		&endpoints_service_state(f, r->service->name)->accounts;
+	size_t most = 0;
+
+	if (a->logged_us && now - a->logged_us < SHARE_LOG_INTERVAL_US)
+		return;
+	a->logged_us = now;
+	for (size_t i = 1; i < c->n; i++)
+		if (account_share_excess(&c->claims[i]) >
+		    account_share_excess(&c->claims[most]))
+			most = i;
+	struct slog l = slog_begin("account_share");
+	slog_str(&l, "service", r->service->name);
+	slog_int(&l, "accounts", (int64_t)c->n);
+	slog_int(&l, "queued_tokens", (int64_t)c->queued);
+	slog_int(&l, "divided_tokens", (int64_t)amount);
+	slog_int(&l, "level_tokens", (int64_t)level);
+	slog_str(&l, "account", c->states[most]->name);
+	slog_int(&l, "account_used", (int64_t)c->claims[most].used);
+	slog_int(&l, "account_queued", (int64_t)c->claims[most].queued);
+	slog_int(&l, "account_granted", (int64_t)c->claims[most].granted);
+	slog_int(&l, "sums_age_us", now - f->totals_received_us);
+	slog_end(&l);
 }
 
-static void begin_quota_round(struct request *r, struct quota *q,
+/* Divides the quota of a new round among the accounts that have requests here;
+ * `part` of the work that is queued may be placed in the round. */
+static void divide_quota(struct request *r, struct region_quota *rq,
+			 double part, int64_t now)
+{
+	struct account_claims c;
+
+	rq->n_accounts = 0;
+	if (rq->quota.enough_for_all || !r->fwd->conf->account_shares)
+		return;
+	accounts_gather(&c, r, now);
+	if (c.n > 1) {
+		double amount = part * c.queued;
+		double level = account_share_divide(c.claims, c.n, amount);
+
+		log_shares(r, &c, amount, level, now);
+		rq->accounts = g_renew(struct account_quota, rq->accounts, c.n);
+	}
+	for (size_t i = 0; c.n > 1 && i < c.n; i++) {
+		double own = (double)demand_same(&c.states[i]->queued,
+						 request_residency(r));
+		if (own > 0)
+			rq->accounts[rq->n_accounts++] = (struct account_quota){
+				c.states[i],
+				account_share_of_host(&c.claims[i], own)};
+	}
+	accounts_claims_release(&c);
+}
+
+static void begin_quota_round(struct request *r, struct region_quota *rq,
 			      uint64_t room_tokens, int64_t now)
 {
 	struct fwd *f = r->fwd;
@@ -140,9 +213,36 @@
 	/* Of a set that shares a quota only the request itself is known. */
 	uint64_t own_tokens =
 		MAX(demand_same(&own, request_residency(r)), r->need_tokens);
-	quota_begin_round(q, room_tokens, own_tokens,
+	quota_begin_round(&rq->quota, room_tokens, own_tokens,
 			  competing > own_tokens ? competing - own_tokens : 0,
 			  now);
+	divide_quota(r, rq, rq->quota.left_tokens / (double)MAX(own_tokens, 1),
+		     now);
+}
+
+/* Takes the tokens of the request from its account's part of the quota; false
+ * if that is used up, or if the account had no request here as it was divided.
+ */
+static bool take_account_quota(struct request *r, struct region_quota *rq)
+{
+	const struct account_state *account = accounts_of(r);
+
+	for (size_t i = 0; i < rq->n_accounts; i++) {
+		struct account_quota *a = &rq->accounts[i];
+		struct quota q = {.left_tokens = a->left_tokens};
+
+		if (a->account != account)
+			continue;
+		bool taken = quota_take(&q, r->need_tokens,
+					g_rand_double(r->fwd->rand));
+		a->left_tokens = q.left_tokens;
+		if (taken)
+			rq->quota.left_tokens = MAX(
+				rq->quota.left_tokens - (double)r->need_tokens,
+				0);
+		return taken;
+	}
+	return false;
 }
 
 /*
@@ -154,11 +254,13 @@
 {
 	struct fwd *f = r->fwd;
 	struct service_state *s = endpoints_service_state(f, r->service->name);
-	struct quota *q = quota_of(s, request_residency(r));
+	struct region_quota *rq = quota_of(s, request_residency(r));
 
-	if (quota_round_is_due(q, now))
-		begin_quota_round(r, q, room_tokens, now);
-	return quota_take(q, r->need_tokens, g_rand_double(f->rand));
+	if (quota_round_is_due(&rq->quota, now))
+		begin_quota_round(r, rq, room_tokens, now);
+	if (rq->n_accounts)
+		return take_account_quota(r, rq);
+	return quota_take(&rq->quota, r->need_tokens, g_rand_double(f->rand));
 }
 
 /*
@@ -191,6 +293,7 @@
 		list_del(&r->wait_node);
 		f->n_waiting--;
 	}
+	accounts_record_sent(r, now);
 	request_send(r, ep, now);
 	return true;
 }
@@ -201,7 +304,7 @@
 	unsigned int n = 0;
 
 	list_for_each_entry (o, &r->fwd->waiting, wait_node)
-		n += o->route == r->route;
+		n += o->route == r->route && !o->displaced;
 	return n;
 }
 
@@ -231,13 +334,157 @@
 	slog_int(&l, "with_queue", capacity.queueing);
 	slog_int(&l, "reading", capacity.prefilling);
 	slog_int(&l, "turn_left_tokens",
-		 (int64_t)quota_of(s, request_residency(r))->left_tokens);
+		 (int64_t)quota_of(s, request_residency(r))->quota.left_tokens);
 	slog_int(&l, "wait_max_us", wait_max_us(r));
 	slog_int(&l, "sums_age_us", now - f->totals_received_us);
 	request_log_regions(&l, r);
 	slog_end(&l);
 }
 
+/* Marks a waiting request to be refused, as another account's has its place. */
+static void displace(struct request *victim, const struct account_claim *c,
+		     double level, int64_t now)
+{
+	struct slog l = slog_begin("displaced");
+
+	victim->displaced = true;
+	victim->fwd->n_displaced++;
+	if (is_deferrable(victim))
+		victim->back_after_us =
+			account_share_retry_us(c, level, wait_max_us(victim));
+	counter_add(C_ACCOUNT_SHARES, "displaced", 1);
+	slog_str(&l, "request", victim->ask.id);
+	slog_int(&l, "account_used", (int64_t)c->used);
+	slog_int(&l, "account_queued", (int64_t)c->queued);
+	slog_int(&l, "account_granted", (int64_t)c->granted);
+	slog_int(&l, "level_tokens", (int64_t)level);
+	slog_int(&l, "sums_age_us", now - victim->fwd->totals_received_us);
+	slog_end(&l);
+}
+
+/* Whether the request may be displaced by `newcomer`. */
+static bool is_displaceable(const struct request *r,
+			    const struct request *newcomer)
+{
+	return r != newcomer && !r->held && !r->displaced && r->generation &&
+	       is_deferrable(r) == is_deferrable(newcomer) &&
+	       r->rank >= newcomer->rank &&
+	       !strcmp(r->service->name, newcomer->service->name);
+}
+
+/* Displaces the newest request of the account that has most in the queue above
+ * its share, if it has one here. */
+static void displace_above_share(struct request *r,
+				 const struct account_claims *c, double level,
+				 int64_t now)
+{
+	struct request *o, *victim = NULL;
+	const struct account_claim *claim = NULL;
+	const struct residency *allowed = request_residency(r);
+
+	list_for_each_entry (o, &r->fwd->waiting, wait_node) {
+		if (!is_displaceable(o, r) ||
+		    !residency_equal(request_residency(o), allowed))
+			continue;
+		size_t i = accounts_index(c, accounts_of(o));
+		if (i == c->n || account_share_excess(&c->claims[i]) < 1 ||
+		    (claim && account_share_excess(claim) >
+				      account_share_excess(&c->claims[i])))
+			continue;
+		claim = &c->claims[i];
+		victim = o;
+	}
+	if (victim)
+		displace(victim, claim, level, now);
+}
+
+/*
+ * Displaces an urgent request of the same route whose account uses most, if it
+ * uses more than that of the new one will; false if there is none.
+ */
+static bool displace_urgent(struct request *r, int64_t now)
+{
+	struct request *o, *victim = NULL;
+	const struct account_claim *claim = NULL;
+	struct account_claims c;
+
+	if (!r->fwd->conf->account_shares)
+		return false;
+	accounts_gather(&c, r, now);
+	const struct account_claim *own =
+		&c.claims[accounts_index(&c, accounts_of(r))];
+	list_for_each_entry (o, &r->fwd->waiting, wait_node) {
+		if (!is_displaceable(o, r) || o->route != r->route)
+			continue;
+		size_t i = accounts_index(&c, accounts_of(o));
+		if (i == c.n ||
+		    !account_share_displaces(own, &c.claims[i],
+					     r->need_tokens) ||
+		    (claim && account_share_order(claim) >
+				      account_share_order(&c.claims[i])))
+			continue;
+		claim = &c.claims[i];
+		victim = o;
+	}
+	if (victim)
+		displace(victim, claim, account_share_order(own), now);
+	accounts_claims_release(&c);
+	return victim != NULL;
+}
+
+/* Refuses and frees a request for want of room. */
+static void refuse_for_room(struct request *r, const char *why, int64_t now)
+{
+	accounts_record_refused(r, now);
+	request_refuse(r, -MW_EQUEUEFULL, why, now);
+}
+
+void request_refuse_displaced(struct fwd *f, int64_t now)
+{
+	struct request *r, *tmp;
+
+	if (!f->n_displaced)
+		return;
+	f->n_displaced = 0;
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		if (r->displaced)
+			refuse_for_room(r, "above the account's share", now);
+}
+
+/*
+ * Whether the share of the request's account lets it wait, in a queue of which
+ * queue_max is placed in time.  Sets when its caller may come back, and
+ * displaces another account's request if the queue is longer than that.
+ */
+static bool share_lets_wait(struct request *r, uint64_t all_queued,
+			    uint64_t queue_max, int64_t now)
+{
+	bool too_long = all_queued > queue_max, may_wait;
+	struct account_claims c;
+	double level;
+
+	accounts_gather(&c, r, now);
+	struct account_newcomer newcomer = {
+		.account = accounts_index(&c, accounts_of(r)),
+		.need = (double)r->need_tokens,
+		.random = g_rand_double(r->fwd->rand)};
+	may_wait = c.n > 1 ? account_share_may_wait(c.claims, c.n, &newcomer,
+						    (double)all_queued,
+						    (double)queue_max, &level)
+			   : !too_long;
+	if (c.n > 1 && !may_wait) {
+		r->back_after_us = account_share_retry_us(
+			&c.claims[newcomer.account], level, wait_max_us(r));
+		counter_add(C_ACCOUNT_SHARES, "refused", 1);
+		log_shares(r, &c, (double)queue_max, level, now);
+	} else if (c.n > 1 && too_long) {
+		counter_add(C_ACCOUNT_SHARES, "admitted", 1);
+		displace_above_share(r, &c, level, now);
+	}
+	accounts_claims_release(&c);
+	return may_wait;
+}
+
 /*
  * Whether a new request would wait too long, given what already waits: on all
  * hosts for a deferrable generation, on this one for an urgent one.
@@ -251,13 +498,21 @@
 	if (!r->generation)
 		return false;
 	if (!is_deferrable(r))
-		return count_waiting_on_route(r) >= URGENT_ROUTE_QUEUE_MAX;
+		return count_waiting_on_route(r) >= URGENT_ROUTE_QUEUE_MAX &&
+		       !displace_urgent(r, now);
 	struct demands own = request_queued(f, r->service->name);
 	struct demands all = queued_everywhere(f, s, &own, now);
 	uint64_t memory_tokens = request_capacity(r, now).memory_tokens;
 
-	if (quota_wait_is_worthwhile(request_competing(r, &all, true, now),
-				     memory_tokens, wait_max_us(r)))
+	uint64_t queued = request_competing(r, &all, true, now);
+	bool worthwhile =
+		quota_wait_is_worthwhile(queued, memory_tokens, wait_max_us(r));
+	if (f->conf->account_shares && queued && memory_tokens)
+		worthwhile = share_lets_wait(
+			r, queued,
+			quota_worthwhile_tokens(memory_tokens, wait_max_us(r)),
+			now);
+	if (worthwhile)
 		return false;
 	log_queue_state(r, "queue_too_long", now);
 	return true;
@@ -364,6 +619,16 @@
 		refuse_if_evacuated(r, now);
 }
 
+/* The request waits for room; others learn its account's claim. */
+static void mark_short(struct request *r, int64_t now)
+{
+	if (!r->generation)
+		return;
+	endpoints_service_state(r->fwd, r->service->name)->accounts.short_us =
+		now;
+	r->fwd->use_unreported = true;
+}
+
 void request_place(struct request *r, int64_t now)
 {
 	bool any_usable = true;
@@ -387,22 +652,93 @@
 		return;
 	if (r->fwd->n_waiting >= QUEUE_MAX ||
 	    (v != BLAME_HOLD && any_usable && would_wait_too_long(r, now))) {
-		request_refuse(r, -MW_EQUEUEFULL, "queue is full", now);
+		refuse_for_room(r, "queue is full", now);
 		return;
 	}
+	if (v != BLAME_HOLD && any_usable)
+		mark_short(r, now);
 	if (v != BLAME_HOLD)
 		request_log(r, "queued", any_usable ? "full" : "no endpoint",
 			    now);
 	enqueue_waiting(r);
 }
 
+struct order_key {
+	struct request *request;
+	unsigned int turn; /* by account: 1 urgent, 2 deferrable; 0: not so */
+	double order;	   /* account_share_order() */
+};
+
+static struct order_key order_of(struct request *r, int64_t now)
+{
+	struct order_key k = {.request = r};
+	struct accounts *a;
+
+	if (!r->generation || !r->fwd->conf->account_shares)
+		return k;
+	a = &endpoints_service_state(r->fwd, r->service->name)->accounts;
+	if (!accounts_is_short(a, now))
+		return k;
+	if (now - a->counted_us >= ORDER_INTERVAL_US)
+		accounts_count(r->fwd, r->service->name, now);
+	k.turn = is_deferrable(r) ? 2 : 1;
+	k.order = accounts_of(r)->order;
+	return k;
+}
+
+static int compare_keys(const void *x, const void *y)
+{
+	const struct order_key *a = x, *b = y;
+	const struct request *r = a->request, *o = b->request;
+
+	if (r->rank != o->rank)
+		return r->rank < o->rank ? -1 : 1;
+	if (a->turn != b->turn)
+		return a->turn < b->turn ? -1 : 1;
+	if (a->order < b->order || a->order > b->order)
+		return a->order < b->order ? -1 : 1;
+	if (r->arrived_us != o->arrived_us)
+		return r->arrived_us < o->arrived_us ? -1 : 1;
+	return 0;
+}
+
+/* Sorts the queue by rank, then by what the accounts use while room is short,
+ * then by arrival. */
+static void sort_waiting(struct fwd *f, int64_t now)
+{
+	g_autofree struct order_key *keys =
+		g_new(struct order_key, f->n_waiting + 1);
+	struct request *r, *tmp;
+	bool by_account = false;
+	size_t n = 0;
+
+	if (f->n_waiting < 2)
+		return;
+	list_for_each_entry (r, &f->waiting, wait_node) {
+		keys[n] = order_of(r, now);
+		by_account |= keys[n++].turn > 0;
+	}
+	if (!by_account && !f->waiting_by_account)
+		return;
+	f->waiting_by_account = by_account;
+	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node)
+		list_del(&r->wait_node);
+	qsort(keys, n, sizeof(*keys), compare_keys);
+	for (size_t i = 0; i < n; i++)
+		list_add_tail(&f->waiting, &keys[i].request->wait_node);
+}
+
 void request_place_waiting(struct fwd *f, int64_t now)
 {
 	struct request *r, *tmp;
 	bool any_usable;
 
+	sort_waiting(f, now);
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
 		struct crashes_finding finding;
+
+		if (r->displaced)
+			continue;
 		enum blame_verdict v = judge(r, &finding, now);
 
 		if (v == BLAME_REFUSE || refuse_outside_regions(r, now))
@@ -440,9 +776,13 @@
 			continue;
 		if (r->generation && !r->held)
 			log_queue_state(r, "no_room", now);
-		request_refuse(r,
-			       r->no_usable_endpoint ? -MW_ENOENDPOINT
-						     : -MW_EQUEUEFULL,
-			       r->held ? "held back" : "no room in time", now);
+		if (r->no_usable_endpoint)
+			request_refuse(
+				r, -MW_ENOENDPOINT,
+				r->held ? "held back" : "no room in time", now);
+		else if (r->held)
+			request_refuse(r, -MW_EQUEUEFULL, "held back", now);
+		else
+			refuse_for_room(r, "no room in time", now);
 	}
 }
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -116,8 +116,10 @@
 	bool may_have_run;
 	bool held;		 /* waits as it is suspected (policy/blame.h) */
 	bool trial;		 /* placed as a trial, not delivered yet */
+	bool displaced;		 /* another account's request has its place */
 	bool no_usable_endpoint; /* at the last try to place it */
-	int64_t back_after_us;	 /* when an endpoint is back; 0: unknown */
+	int64_t back_after_us;	 /* when an endpoint is back, or the account is
+				    within its share; 0: unknown */
 	uint64_t need_tokens;	 /* memory needed when it ends */
 	uint64_t prefill_tokens; /* prompt tokens not processed yet */
 	struct residency residency;  /* regions.c */
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -80,6 +80,10 @@
 	"Steps of moving generations to other endpoints, by outcome.")
 COUNTER(RESIDENCY, "mustardwall_residency_blocked_total", "requests", "reason",
 	"Refusals, moves and copies that allowed regions decided, by reason.")
+COUNTER(ACCOUNT_SHARES, "mustardwall_account_shares_total", "requests",
+	"decision",
+	"Generations refused above the share of their account, admitted within "
+	"it, or displaced by another account's, while their queue was long.")
 COUNTER(ENDPOINT_PAUSES, "mustardwall_endpoint_pauses_total", "pauses", NULL,
 	"Pauses that endpoints asked for when they turned a request away.")
 COUNTER(EVACUATIONS, "mustardwall_evacuations_total", "changes", "state",
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -2167,6 +2167,51 @@
   assert(message->base.descriptor == &mw__region_queue__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__account_row__init
+                     (Mw__AccountRow         *message)
+{
+  static const Mw__AccountRow init_value = MW__ACCOUNT_ROW__INIT;
+  *message = init_value;
+}
+size_t mw__account_row__get_packed_size
+                     (const Mw__AccountRow *message)
+{
+  assert(message->base.descriptor == &mw__account_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__account_row__pack
+                     (const Mw__AccountRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__account_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__account_row__pack_to_buffer
+                     (const Mw__AccountRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__account_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__AccountRow *
+       mw__account_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__AccountRow *)
+     protobuf_c_message_unpack (&mw__account_row__descriptor,
+                                allocator, len, data);
+}
+void   mw__account_row__free_unpacked
+                     (Mw__AccountRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__account_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__queue_row__init
                      (Mw__QueueRow         *message)
 {
@@ -7874,7 +7919,97 @@
   (ProtobufCMessageInit) mw__region_queue__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mw__account_row__field_descriptors[5] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mw__AccountRow, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__AccountRow, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__AccountRow, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__AccountRow, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "restricted",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__AccountRow, n_restricted),
+    offsetof(Mw__AccountRow, restricted),
+    &mw__region_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__account_row__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  3,   /* field[3] = refused */
+  4,   /* field[4] = restricted */
+  2,   /* field[2] = tokens */
+  1,   /* field[1] = used */
+};
+static const ProtobufCIntRange mw__account_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mw__account_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.AccountRow",
+  "AccountRow",
+  "Mw__AccountRow",
+  "mw",
+  sizeof(Mw__AccountRow),
+  5,
+  mw__account_row__field_descriptors,
+  mw__account_row__field_indices_by_name,
+  1,  mw__account_row__number_ranges,
+  (ProtobufCMessageInit) mw__account_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__queue_row__field_descriptors[5] =
 {
   {
     "service",
@@ -7924,17 +8059,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "accounts",
+    70,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__QueueRow, n_accounts),
+    offsetof(Mw__QueueRow, accounts),
+    &mw__account_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__queue_row__field_indices_by_name[] = {
+  4,   /* field[4] = accounts */
   2,   /* field[2] = arrivals */
   3,   /* field[3] = restricted */
   0,   /* field[0] = service */
   1,   /* field[1] = tokens */
 };
-static const ProtobufCIntRange mw__queue_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange mw__queue_row__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 70, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mw__queue_row__descriptor =
 {
@@ -7944,10 +8093,10 @@
   "Mw__QueueRow",
   "mw",
   sizeof(Mw__QueueRow),
-  4,
+  5,
   mw__queue_row__field_descriptors,
   mw__queue_row__field_indices_by_name,
-  1,  mw__queue_row__number_ranges,
+  2,  mw__queue_row__number_ranges,
   (ProtobufCMessageInit) mw__queue_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -63,6 +63,7 @@
 typedef struct Mw__EndpointRows Mw__EndpointRows;
 typedef struct Mw__UseRow Mw__UseRow;
 typedef struct Mw__RegionQueue Mw__RegionQueue;
+typedef struct Mw__AccountRow Mw__AccountRow;
 typedef struct Mw__QueueRow Mw__QueueRow;
 typedef struct Mw__UseReport Mw__UseReport;
 typedef struct Mw__UseTotals Mw__UseTotals;
@@ -1167,6 +1168,40 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What one client account uses and asks for, while room is short.  In tokens of
+ * memory that generations are expected to need.
+ */
+struct  Mw__AccountRow
+{
+  ProtobufCMessage base;
+  /*
+   * "*": all that have no row of their own
+   */
+  char *account;
+  /*
+   * held at endpoints, and received lately
+   */
+  uint64_t used;
+  /*
+   * queued, urgent ones not counted
+   */
+  uint64_t tokens;
+  /*
+   * rejected lately for want of room
+   */
+  uint64_t refused;
+  /*
+   * parts of tokens, one for each set of regions
+   */
+  size_t n_restricted;
+  Mw__RegionQueue **restricted;
+};
+#define MW__ACCOUNT_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__account_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
 /*
  * Generations queued on a host until an endpoint of a service has free memory.
  */
@@ -1190,10 +1225,15 @@
    */
   size_t n_restricted;
   Mw__RegionQueue **restricted;
+  /*
+   * at most 64; none while no room is short
+   */
+  size_t n_accounts;
+  Mw__AccountRow **accounts;
 };
 #define MW__QUEUE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__queue_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -2668,6 +2708,25 @@
 void   mw__region_queue__free_unpacked
                      (Mw__RegionQueue *message,
                       ProtobufCAllocator *allocator);
+/* Mw__AccountRow methods */
+void   mw__account_row__init
+                     (Mw__AccountRow         *message);
+size_t mw__account_row__get_packed_size
+                     (const Mw__AccountRow   *message);
+size_t mw__account_row__pack
+                     (const Mw__AccountRow   *message,
+                      uint8_t             *out);
+size_t mw__account_row__pack_to_buffer
+                     (const Mw__AccountRow   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__AccountRow *
+       mw__account_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__account_row__free_unpacked
+                     (Mw__AccountRow *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__QueueRow methods */
 void   mw__queue_row__init
                      (Mw__QueueRow         *message);
@@ -3213,6 +3272,9 @@
 typedef void (*Mw__RegionQueue_Closure)
                  (const Mw__RegionQueue *message,
                   void *closure_data);
+typedef void (*Mw__AccountRow_Closure)
+                 (const Mw__AccountRow *message,
+                  void *closure_data);
 typedef void (*Mw__QueueRow_Closure)
                  (const Mw__QueueRow *message,
                   void *closure_data);
@@ -3330,6 +3392,7 @@
 extern const ProtobufCMessageDescriptor mw__endpoint_rows__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__region_queue__descriptor;
+extern const ProtobufCMessageDescriptor mw__account_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__queue_row__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_report__descriptor;
 extern const ProtobufCMessageDescriptor mw__use_totals__descriptor;
--- a/tests/test_use.c
+++ b/tests/test_use.c
@@ -6,6 +6,7 @@
 
 #include "control/use.h"
 #include "policy/usage_interval.h"
+#include "wire/account_rows.h"
 
 #define MS INT64_C(1000)
 
@@ -324,13 +325,86 @@
 }
 END_TEST
 
+/* Stores a report with `n` accounts, of which account i uses (i + 1) * 10. */
+static void send_accounts(struct use_table *u, const char *host, uint64_t seq,
+			  int n)
+{
+	Mw__UseReport r = MW__USE_REPORT__INIT;
+	Mw__QueueRow queue = MW__QUEUE_ROW__INIT, *list[] = {&queue};
+	GPtrArray *rows = account_rows_new();
+
+	r.host = (char *)host;
+	r.incarnation = 1;
+	r.seq = seq;
+	r.queues = list;
+	r.n_queues = 1;
+	queue.service = (char *)"s";
+	for (int i = 0; i < n; i++) {
+		g_autofree char *name = g_strdup_printf("a%02d", i);
+		Mw__AccountRow *row = account_rows_get(rows, name);
+
+		row->used = (uint64_t)(i + 1) * 10;
+		row->tokens = 8;
+		account_row_restricted(row, "north")->tokens = 3;
+	}
+	account_rows_bound(rows);
+	account_rows_move(rows, &queue);
+	use_store_report(u, &r, true, 0);
+	account_rows_free_moved(&queue);
+	use_update_sums(u, 0);
+}
+
+/*
+ * Guards against sums by account that count the receiver's own, keep those of a
+ * host that has none any more, or grow without bound.
+ */
+START_TEST(test_sums_by_account)
+{
+	struct use_table *u = use_new();
+	uint64_t used = 0;
+
+	send_accounts(u, "h1", 1, 2);
+	send_accounts(u, "h2", 1, 1);
+	send_accounts(u, "h3", 1, 1);
+	Mw__UseTotals *t = use_totals_new(u, "h2", 0);
+	ck_assert_uint_eq(t->n_queues, 1);
+	ck_assert_uint_eq(t->queues[0]->n_accounts, 2);
+	const Mw__AccountRow *row = t->queues[0]->accounts[0];
+	ck_assert_str_eq(row->account, "a00");
+	ck_assert_uint_eq(row->used, 20);
+	ck_assert_uint_eq(row->tokens, 16);
+	ck_assert_uint_eq(row->restricted[0]->tokens, 6);
+	use_totals_free(t);
+
+	send_accounts(u, "h1", 2, 100);
+	send_accounts(u, "h2", 2, 0);
+	t = use_totals_new(u, "h3", 0);
+	ck_assert_uint_eq(t->queues[0]->n_accounts, ACCOUNT_ROWS_MAX);
+	for (size_t i = 0; i < t->queues[0]->n_accounts; i++) {
+		row = t->queues[0]->accounts[i];
+		used += row->used;
+		/* 63 accounts have rows of their own. */
+		ck_assert(!strcmp(row->account, "*") || row->used > 370);
+	}
+	ck_assert_uint_eq(used, 50500);
+	use_totals_free(t);
+
+	send_accounts(u, "h1", 3, 0);
+	t = use_totals_new(u, "h3", 0);
+	ck_assert(!t->n_queues || !t->queues[0]->n_accounts);
+	use_totals_free(t);
+	use_free(u);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_restricted_queues,	    test_sums_without_own,
 		test_change_hidden_by_own,  test_partial_totals,
 		test_full_totals_after_gap, test_random_reports,
-		test_message_intervals,	    test_latest_limit};
+		test_message_intervals,	    test_sums_by_account,
+		test_latest_limit};
 
 	return check_main("use", tests, sizeof(tests) / sizeof(*tests));
 }
