--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -394,7 +394,7 @@
 		claim = &c->claims[i];
 		victim = o;
 	}
-	if (victim)
+	if (victim && claim)
 		displace(victim, claim, level, now);
 }
 
@@ -426,7 +426,7 @@
 		claim = &c.claims[i];
 		victim = o;
 	}
-	if (victim)
+	if (victim && claim)
 		displace(victim, claim, account_share_order(own), now);
 	accounts_claims_release(&c);
 	return victim != NULL;
