evacuate: Refuse orders in time behind one that does not end

An order that waited on the leader behind another one was looked at only when the other one ended. A leader without a majority so kept it, without an answer, for longer than the 0.9 s after which its operator is told that it was not run. Queued orders are now ended at each tick once their time is over.

--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,10 @@
 	@echo "LD $@"
 	@$(CC) $(LDFLAGS_$(MODE)) -o $@ $< $(PLATFORM_OBJ) $(B)/libmw.a $(LDLIBS) $(CHECK_LIBS)
 
+# It defines functions of the library itself, in place of the network and the
+# log; the platform's objects would bring the real ones in.
+$(B)/tests/test_evacuate: PLATFORM_OBJ =
+
 setup:
 	@./.ci/setup $(PACKAGES)
 
--- a/src/control/ctl_evacuate.c
+++ b/src/control/ctl_evacuate.c
@@ -230,6 +230,19 @@
 	}
 }
 
+/* Ends queued orders in time also while the one before them does not end. */
+static void drop_expired(struct ctl *c, int64_t now)
+{
+	struct evacuation_order *o, *tmp;
+
+	list_for_each_entry_safe (o, tmp, &c->evacuation_orders, node) {
+		if (now <= o->not_after_us)
+			continue;
+		list_del(&o->node);
+		order_end(o, -MW_EDEADLINE, NULL);
+	}
+}
+
 static void order_submit(struct ctl *c, const char *dc, bool begins,
 			 const char *operator_name, int64_t not_after_us,
 			 ctl_result_fn fn, void *ctx)
@@ -420,6 +433,7 @@
 {
 	struct evacuation_call *call, *tmp;
 
+	drop_expired(c, now);
 	submit_next(c);
 	list_for_each_entry_safe (call, tmp, &c->evacuation_calls, node) {
 		if (call->open)
