entry: Keep requests in the regions that route and account allow

The product's own interface did not read allowed_regions, and a generation of an evacuated data centre waited until queue_max_age_ms.

Nodes of routes and accounts have allowed_regions (schema type names, a list of names that are no nodes); regions come from dcs/DC. entry/residence.c decides, and is asked at admission, for each endpoint (selection, retry, spill), for a waiting generation, at a resume, and before an answer goes to the ledger. A host outside the regions or without a region refuses, not run. If all known endpoints of a model are evacuated, a generation is refused at once when none can be borrowed, else after 3 s without a loan.

--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -2,6 +2,7 @@
 #define ENTRY_CALL_H
 
 #include "entry/entry.h"
+#include "entry/residence.h"
 
 /*
  * One call to a plain service.  Idempotent calls may be sent again.  A
@@ -26,6 +27,7 @@
 	char *content_type; /* of the request */
 	char key[CALL_KEY_CHARS + 1];
 	uint8_t body_hash[32];
+	struct residence residence;
 	bool once; /* has an idempotency key */
 	bool repeatable;
 	bool may_have_run;    /* an earlier attempt reached an endpoint */
@@ -57,6 +59,9 @@
 /* Sends the call to an endpoint of its service. */
 void call_send(struct call *c);
 
+/* The lists of regions that hold for the call. */
+struct residence_subject call_residence(const struct call *c);
+
 /* Replies with the service's answer if the caller is still connected. */
 void call_reply_answer(struct call *c, const char *outcome);
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -117,6 +117,8 @@
 	const struct request *r = ctx;
 	struct endpoint *ep = view_find(r->entry, endpoint);
 
+	if (!request_may_run_in(r, ep ? ep->dc : ""))
+		return true;
 	if (ep && (!view_may_use(ep) || !endpoint_allows(r->entry, ep)))
 		return true;
 	return !suspect_may_place(r->entry->suspects, r->fingerprint, endpoint);
@@ -158,6 +160,27 @@
 	stream_open(r, false);
 }
 
+/*
+ * Refuses a request that need not wait: its lists have changed so that this
+ * data centre is not allowed, or all endpoints of its model are evacuated and
+ * none can be borrowed.
+ */
+static bool refuse_if_hopeless(struct request *r, int64_t now)
+{
+	struct entry *e = r->entry;
+
+	if (!request_may_run_in(r, e->conf->dc)) {
+		request_fail(r, -MW_EREGIONDOWN, ENTRY_OUTSIDE_TEXT, 0);
+		return true;
+	}
+	if (view_all_evacuated(e, r->model) && !remote_can_borrow(e, now)) {
+		request_fail(r, -MW_ENOENDPOINT,
+			     "all endpoints of the model are evacuated", 1);
+		return true;
+	}
+	return false;
+}
+
 /* Returns 0 if the request at the head was placed or failed. */
 static int place_head(struct entry *e, struct pool *p, struct queue_item *it,
 		      int64_t now)
@@ -185,6 +208,8 @@
 		request_fail(r, -MW_EPOISON, NULL, 0);
 		return 0;
 	}
+	if (refuse_if_hopeless(r, now))
+		return 0;
 	request_forecast(r, now, &q.need.output_forecast);
 	int err = route_choose(e->route, &q, now, &rep);
 	if (err == 0)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -40,6 +40,7 @@
  *   view_owner.c   which of several endpoints holds their address
  *   request.c      generations: admission, queueing, release
  *   remote.c       endpoints borrowed from other data centres
+ *   residence.c    regions in which a request may run
  *   dispatch.c     placing queued generations on endpoints, retries
  *   stream.c       relaying tokens to the caller
  *   service.c      calls to plain services
@@ -50,6 +51,10 @@
  *   work_stats.c   queue, account and lost endpoint rows of status answers
  */
 
+/* Detail of the refusal by a host that is not in an allowed region. */
+#define ENTRY_OUTSIDE_TEXT                                                     \
+	"the data centre of this host is in no region that is allowed"
+
 struct entry;
 struct request;
 struct work_stats;
@@ -327,6 +332,11 @@
  * model or service.
  */
 bool view_has_endpoint_for(struct entry *e, const char *model);
+/*
+ * Whether such endpoints, and those of other data centres that are lent, exist
+ * and are all evacuated.
+ */
+bool view_all_evacuated(struct entry *e, const char *model);
 
 /* ---- request.c, dispatch.c ---- */
 void request_handle(struct entry *e, struct httpd_req *http, bool chat);
@@ -365,7 +375,8 @@
 bool remote_has_loan(struct entry *e, const char *id, int64_t now);
 /*
  * Whether a model without an endpoint in this data centre may be requested from
- * others: there is a spill budget, and the hub answers.
+ * others: there is a spill budget, the hub answers, and not all others are
+ * evacuated.
  */
 bool remote_can_borrow(struct entry *e, int64_t now);
 /* Charges n bytes sent (out) or received to the spill budget, if remote. */
--- a/src/entry/once.c
+++ b/src/entry/once.c
@@ -154,7 +154,10 @@
 		end.body.data = (uint8_t *)buf_head(&c->answer);
 		end.body.len = buf_unread(&c->answer);
 	}
-	if (end.body.len > LEDGER_BODY_MAX)
+	/* The ledger is on control processes of all regions. */
+	struct residence_subject s = call_residence(c);
+	if (end.body.len > LEDGER_BODY_MAX ||
+	    residence_is_restricted(&s, c->entry->session.cfg.tree))
 		end.body.len = 0;
 	cmd.body_case = MW__COMMAND__BODY_END;
 	cmd.end = &end;
--- a/src/entry/remote.c
+++ b/src/entry/remote.c
@@ -321,17 +321,33 @@
 
 /* ---- requests ---- */
 
+/* Whether another data centre with a control process is not evacuated. */
+static bool has_lender(const struct entry *e)
+{
+	struct tree *t = e->session.cfg.tree;
+	const struct conf *conf = e->conf;
+
+	for (size_t i = 0; i < conf->control_nr; i++)
+		if (strcmp(conf->controls[i].dc, conf->dc) != 0 &&
+		    !(t &&
+		      tree_dc_settings(t, conf->controls[i].dc)->evacuated))
+			return true;
+	return !conf->control_nr; /* not known with --seeds */
+}
+
 bool remote_can_borrow(struct entry *e, int64_t now)
 {
-	return route_spill_budget(e->route)->cfg.bytes_per_s &&
+	return has_lender(e) && route_spill_budget(e->route)->cfg.bytes_per_s &&
 	       hub_client_in_contact(e->session.hub_client, now);
 }
 
 bool remote_refuse_overdue(struct request *r, int err, int64_t now)
 {
-	if (err != -MW_ENOENDPOINT || !r->needs_loan ||
-	    now - r->arrived_us < LOAN_WAIT_US ||
-	    route_has_local(r->entry->route, r->model))
+	bool evacuated = view_all_evacuated(r->entry, r->model);
+
+	if (err != -MW_ENOENDPOINT || now - r->arrived_us < LOAN_WAIT_US ||
+	    !(evacuated ||
+	      (r->needs_loan && !route_has_local(r->entry->route, r->model))))
 		return false;
 	request_fail(r, err, "no data centre has lent an endpoint in time", 5);
 	return true;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -121,6 +121,7 @@
 	e->open_requests--;
 	json_decref(r->messages);
 	g_free(r->prompt);
+	residence_release(&r->residence);
 	g_free(r->prefixes);
 	sse_release(&r->sse);
 	buf_release(&r->unsent_output);
@@ -323,6 +324,13 @@
 		       sizeof(hash));
 }
 
+bool request_may_run_in(const struct request *r, const char *dc)
+{
+	struct residence_subject s = {&r->residence, r->account, r->route};
+
+	return residence_allows(&s, r->entry->session.cfg.tree, dc);
+}
+
 /* Index of a rank, 0 being the most urgent; the last one for other names. */
 static unsigned int rank_index(struct tree *t, const char *name)
 {
@@ -368,6 +376,7 @@
 	if (m && r->prompt_tokens + (uint64_t)r->max_tokens >
 			 (uint64_t)m->context_tokens)
 		r->max_tokens = (uint32_t)m->context_tokens - r->prompt_tokens;
+	residence_admit(&r->residence, t, r->account, r->route);
 	r->rates.requests_per_s = (double)a->rate_rps;
 	r->rates.tokens_per_s = (double)a->rate_tokens_s;
 	return 0;
@@ -431,6 +440,10 @@
 	err = apply_settings(r, cfg->tree);
 	if (err < 0)
 		return err;
+	if (!request_may_run_in(r, e->conf->dc)) {
+		*detail = ENTRY_OUTSIDE_TEXT;
+		return -MW_EREGIONDOWN;
+	}
 	compute_fingerprint(r);
 	err = suspect_check(e->suspects, r->fingerprint);
 	if (err < 0)
@@ -548,13 +561,19 @@
 	if (rt)
 		r->deadline_us =
 			r->arrived_us + rt->deadline_ms * USEC_PER_MSEC;
+	/* Every local endpoint has a row, so one without is remote. */
+	const struct endpoint *ep = view_find(e, r->endpoint);
+	const char *dc = ep ? ep->dc : "";
+	if (!request_may_run_in(r, e->conf->dc) || !request_may_run_in(r, dc)) {
+		request_fail(r, -MW_EREGIONDOWN,
+			     "the stream may not be resumed here", 0);
+		return;
+	}
 	entry_event(e, EV_KIND_RESUMED, r->id, r->account, r->endpoint,
 		    "generation %s from index %" G_GUINT64_FORMAT,
 		    r->generation, next);
 	stats_resumed();
 	r->state = REQ_STREAMING;
-	const struct endpoint *ep = view_find(e, r->endpoint);
-	/* Every local endpoint has a row, so one without is remote. */
-	remote_record_placement(r, ep ? ep->dc : "");
+	remote_record_placement(r, dc);
 	stream_open(r, true);
 }
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -3,6 +3,7 @@
 
 #include "entry/entry.h"
 #include "entry/cursor.h"
+#include "entry/residence.h"
 #include "endpoint/sse.h"
 
 /*
@@ -47,6 +48,7 @@
 	int retries_max;
 	int resume_window_ms;
 	struct limit_rates rates;
+	struct residence residence; /* none for a resumed one */
 
 	char *prompt;
 	json_t *messages;
@@ -131,6 +133,9 @@
 /* Forecasts the output length, given the tokens produced so far. */
 void request_forecast(struct request *r, int64_t now, struct est_forecast *out);
 
+/* Whether the request may run in the data centre; "": one that is not known. */
+bool request_may_run_in(const struct request *r, const char *dc);
+
 /* ---- dispatch.c ---- */
 
 /* Places queued requests until each queue's head finds no endpoint. */
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -24,6 +24,7 @@
 	list_del(&c->node);
 	e->open_requests--;
 	buf_release(&c->answer);
+	residence_release(&c->residence);
 	g_free(c->path);
 	g_free(c->method);
 	g_free(c->content_type);
@@ -194,11 +195,20 @@
 		call_answer(c, "ran");
 }
 
+struct residence_subject call_residence(const struct call *c)
+{
+	return (struct residence_subject){&c->residence, c->account, c->route};
+}
+
 static bool exclude_endpoint(void *ctx, const char *endpoint)
 {
-	const struct entry *e = ctx;
-	const struct endpoint *ep = view_find(ctx, endpoint);
+	const struct call *c = ctx;
+	struct entry *e = c->entry;
+	const struct endpoint *ep = view_find(e, endpoint);
+	struct residence_subject s = call_residence(c);
 
+	if (!residence_allows(&s, e->session.cfg.tree, ep ? ep->dc : ""))
+		return true;
 	return ep && (!view_may_use(ep) ||
 		      tree_dc_settings(e->session.cfg.tree, ep->dc)->evacuated);
 }
@@ -210,7 +220,7 @@
 	struct route_query q = {.model = c->service,
 				.local_only = true,
 				.exclude = exclude_endpoint,
-				.exclude_ctx = e};
+				.exclude_ctx = c};
 	int err = route_choose(e->route, &q, now, &rep);
 
 	if (err < 0)
@@ -398,6 +408,12 @@
 	c->deadline_us = c->arrived_us + rt->deadline_ms * USEC_PER_MSEC;
 	if (!account_may_call(cfg->tree, c->account, c->route))
 		return -MW_EPERM;
+	residence_admit(&c->residence, cfg->tree, c->account, c->route);
+	struct residence_subject s = call_residence(c);
+	if (!residence_allows(&s, cfg->tree, e->conf->dc)) {
+		*detail = ENTRY_OUTSIDE_TEXT;
+		return -MW_EREGIONDOWN;
+	}
 	int err = set_idempotency_key(
 		c, httpd_header(c->http, "Idempotency-Key"), detail);
 	if (err < 0)
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -371,6 +371,14 @@
 	return strcmp(a->id, b->id);
 }
 
+static bool serves(const struct endpoint *ep, const char *model)
+{
+	for (size_t i = 0; i < ep->info->n_models; i++)
+		if (!strcmp(ep->info->models[i], model))
+			return true;
+	return false;
+}
+
 bool view_has_endpoint_for(struct entry *e, const char *model)
 {
 	GHashTableIter iter;
@@ -378,15 +386,33 @@
 
 	g_hash_table_iter_init(&iter, e->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep)) {
-		if (!strcmp(ep->state, "dead") || remote_owns_endpoint(e, ep))
-			continue;
-		for (size_t i = 0; i < ep->info->n_models; i++)
-			if (!strcmp(ep->info->models[i], model))
-				return true;
+		if (strcmp(ep->state, "dead") != 0 &&
+		    !remote_owns_endpoint(e, ep) && serves(ep, model))
+			return true;
 	}
 	return false;
 }
 
+bool view_all_evacuated(struct entry *e, const char *model)
+{
+	int64_t now = clock_mono_us();
+	GHashTableIter iter;
+	struct endpoint *ep;
+	bool any = false;
+
+	g_hash_table_iter_init(&iter, e->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep)) {
+		if (!strcmp(ep->state, "dead") || !serves(ep, model) ||
+		    (remote_owns_endpoint(e, ep) &&
+		     !remote_has_loan(e, ep->id, now)))
+			continue;
+		if (!tree_dc_settings(e->session.cfg.tree, ep->dc)->evacuated)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
 void view_apply_cache_events(struct entry *e, const char *body, size_t len)
 {
 	struct ep_cache_event events[EP_CACHE_EVENTS_MAX];
--- a/src/state/gen_schema.awk
+++ b/src/state/gen_schema.awk
@@ -39,7 +39,7 @@
 	split(trim($3), t, ":")
 	type[n] = t[1]
 	arg[n] = t[2]
-	if (type[n] !~ /^(bool|int|string|enum|ref|refs|hashes|template)$/)
+	if (type[n] !~ /^(bool|int|string|enum|ref|refs|names|hashes|template)$/)
 		fail("unknown type " type[n])
 	if (type[n] ~ /^refs?$/ && !(arg[n] in kind_index))
 		fail("unknown node kind " arg[n])
@@ -92,14 +92,14 @@
 				c = "int64_t "
 			else if (type[j] == "enum")
 				c = "enum " k[j] "_" field[j] " "
-			else if (type[j] == "refs")
+			else if (type[j] ~ /^(refs|names)$/)
 				c = "const char *const *"
 			else
 				c = "const char *"
 			m = text[j]
 			if (unit[j] != "")
 				m = m " (" unit[j] ")"
-			if (type[j] == "refs")
+			if (type[j] ~ /^(refs|names)$/)
 				m = m "; NULL-terminated"
 			print "\t/* " m " */"
 			print "\t" c field[j] ";"
@@ -182,7 +182,7 @@
 		return min[i] " to " max[i]
 	if (type[i] == "string")
 		return "up to " max[i] " bytes"
-	if (type[i] ~ /^(refs|hashes)$/)
+	if (type[i] ~ /^(refs|names|hashes)$/)
 		return "up to " max[i] " entries"
 	if (type[i] == "enum") {
 		gsub(",", ", ", arg[i])
--- a/src/state/schema.c
+++ b/src/state/schema.c
@@ -60,6 +60,8 @@
 
 		if (!s || !*s)
 			return "a list entry is not a string";
+		if (key->type == SCHEMA_NAMES && strlen(s) > SCHEMA_NAME_MAX)
+			return "a list entry is too long";
 		if (key->type == SCHEMA_HASHES && check_hash(s))
 			return check_hash(s);
 		for (k = 0; k < i; k++) {
@@ -96,6 +98,7 @@
 			return "the value is out of range";
 		return NULL;
 	case SCHEMA_REFS:
+	case SCHEMA_NAMES:
 	case SCHEMA_HASHES:
 		return check_list(key, val);
 	default:
@@ -119,6 +122,7 @@
 	case SCHEMA_INT:
 		return json_integer(key->def_int);
 	case SCHEMA_REFS:
+	case SCHEMA_NAMES:
 	case SCHEMA_HASHES:
 		return json_array();
 	default:
@@ -146,6 +150,7 @@
 	case SCHEMA_ENUM:
 		return *(const int *)a == *(const int *)b;
 	case SCHEMA_REFS:
+	case SCHEMA_NAMES:
 		return list_equal(*(const char *const *const *)a,
 				  *(const char *const *const *)b);
 	default:
--- a/src/state/schema.gen.c
+++ b/src/state/schema.gen.c
@@ -96,6 +96,15 @@
 		.unit = "tokens/s",
 		.description = "Weighted tokens per second and host; 0 is no limit",
 	},
+	{
+		.name = "allowed_regions",
+		.type = SCHEMA_NAMES,
+		.min = INT64_C(0), .max = INT64_C(64),
+		.def_string = "",
+		.offset = offsetof(struct account_cfg, allowed_regions),
+		.unit = "",
+		.description = "Regions in which requests of the account may run; empty allows all",
+	},
 };
 
 static const struct schema_key rank_keys[] = {
@@ -274,6 +283,15 @@
 		.unit = "ms",
 		.description = "Wait for a caller to resume before its stream is cancelled",
 	},
+	{
+		.name = "allowed_regions",
+		.type = SCHEMA_NAMES,
+		.min = INT64_C(0), .max = INT64_C(64),
+		.def_string = "",
+		.offset = offsetof(struct route_cfg, allowed_regions),
+		.unit = "",
+		.description = "Regions in which requests of the route may run; empty allows all",
+	},
 };
 
 static const struct schema_key endpoint_keys[] = {
@@ -555,7 +573,7 @@
 	[SCHEMA_ACCOUNT] = {
 		.name = "account", .folder = "accounts",
 		.max_depth = 7,
-		.keys = account_keys, .nkeys = 10,
+		.keys = account_keys, .nkeys = 11,
 		.cfg_size = sizeof(struct account_cfg),
 	},
 	[SCHEMA_RANK] = {
@@ -567,7 +585,7 @@
 	[SCHEMA_ROUTE] = {
 		.name = "route", .folder = "routes",
 		.max_depth = 7,
-		.keys = route_keys, .nkeys = 11,
+		.keys = route_keys, .nkeys = 12,
 		.cfg_size = sizeof(struct route_cfg),
 	},
 	[SCHEMA_ENDPOINT] = {
--- a/src/state/schema.gen.h
+++ b/src/state/schema.gen.h
@@ -42,6 +42,8 @@
 	int64_t rate_rps;
 	/* Weighted tokens per second and host; 0 is no limit (tokens/s) */
 	int64_t rate_tokens_s;
+	/* Regions in which requests of the account may run; empty allows all; NULL-terminated */
+	const char *const *allowed_regions;
 };
 
 /* Resolved settings; strings belong to the tree. */
@@ -86,6 +88,8 @@
 	int64_t retries_max;
 	/* Wait for a caller to resume before its stream is cancelled (ms) */
 	int64_t resume_window_ms;
+	/* Regions in which requests of the route may run; empty allows all; NULL-terminated */
+	const char *const *allowed_regions;
 };
 
 /* Resolved settings; strings belong to the tree. */
--- a/src/state/schema.h
+++ b/src/state/schema.h
@@ -20,6 +20,7 @@
 	SCHEMA_ENUM,
 	SCHEMA_REF,	 /* name of a node, or "" */
 	SCHEMA_REFS,	 /* list of names of nodes */
+	SCHEMA_NAMES,	 /* list of names that are no nodes */
 	SCHEMA_HASHES,	 /* list of hex hashes, not inherited */
 	SCHEMA_TEMPLATE, /* path of a node of the same kind, not inherited */
 };
--- a/src/state/tree_cfg.c
+++ b/src/state/tree_cfg.c
@@ -35,6 +35,7 @@
 			    : (int)key->def_int;
 		break;
 	case SCHEMA_REFS:
+	case SCHEMA_NAMES:
 		*(const char *const **)field = string_array(val);
 		break;
 	default:
@@ -68,7 +69,8 @@
 	const struct schema_kind_info *info = &schema_kinds[node->kind];
 
 	for (size_t i = 0; node->cfg && i < info->nkeys; i++) {
-		if (info->keys[i].type == SCHEMA_REFS)
+		if (info->keys[i].type == SCHEMA_REFS ||
+		    info->keys[i].type == SCHEMA_NAMES)
 			g_free(*(void **)((char *)node->cfg +
 					  info->keys[i].offset));
 	}
--- a/tests/scripts/evacuate_dc.sh
+++ b/tests/scripts/evacuate_dc.sh
@@ -32,3 +32,27 @@
 ask
 call
 mw status | grep -c 'is evacuated' || :
+
+echo "== nothing can be borrowed: refused at once, not after 30 s"
+mw tree set ranks/normal queue_max_age_ms 30000 >/dev/null
+mw tree set dcs/dc1 spill_bytes_per_s 0 >/dev/null
+mw evacuate dc1
+begun=$(date +%s)
+caller 1 --model=write-up --prompt="F12" --max-tokens=3 --tries=1 \
+	--no-stream | outcome
+[ $(($(date +%s) - begun)) -lt 5 ] && echo "at once"
+
+echo "== another data centre might lend, and does not: 3 s"
+mw tree set dcs/dc1 spill_bytes_per_s 65536 >/dev/null
+begun=$(date +%s)
+caller 1 --model=write-up --prompt="F12" --max-tokens=3 --tries=1 \
+	--no-stream | outcome
+[ $(($(date +%s) - begun)) -lt 15 ] && echo "in time"
+
+echo "== all are evacuated: refused at once"
+mw evacuate dc2
+mw evacuate dc3
+begun=$(date +%s)
+caller 1 --model=write-up --prompt="F12" --max-tokens=3 --tries=1 \
+	--no-stream | outcome
+[ $(($(date +%s) - begun)) -lt 3 ] && echo "at once"
