--- a/tests/test_leave_dc.c
+++ b/tests/test_leave_dc.c
@@ -180,8 +180,7 @@
 
 static enum place_result choose_by_cost(struct play *p, unsigned int host,
 					struct place_target *t,
-					struct place_request *request,
-					size_t *e)
+					struct place_request request, size_t *e)
 {
 	const struct leave_prices prices =
 		leave_prices_init(true, 900, 12000, 100000, 400000);
@@ -192,9 +191,9 @@
 			&prices, (enum leave_class)c,
 			leave_generation_bytes(PROMPT, NEED - PROMPT, 4),
 			is_cut(p, host) ? 5000000 : LAG_MS * 1000);
-	request->distance_us = cost_us;
-	keep_last_room(t, request->unseen);
-	return place_choose(t, ENGINES, request, e);
+	request.distance_us = cost_us;
+	keep_last_room(t, request.unseen);
+	return place_choose(t, ENGINES, &request, e);
 }
 
 static enum place_result choose_other(struct play *p, struct place_target *t,
@@ -262,7 +261,7 @@
 
 	look(p, host, dc, t, now_ms);
 	if (p->policy == BY_COST)
-		res = choose_by_cost(p, host, t, &request, &e);
+		res = choose_by_cost(p, host, t, request, &e);
 	else if (p->policy == FIXED)
 		res = place_choose(t, ENGINES, &request, &e);
 	else
