queue: Do not displace requests that may have run

A stream that has begun and waits for another endpoint was displaced by a request of another account like a new one, and then broke off. A request that is repeated did not count as queued either, as it is still in the state of its last attempt, so its account got no part of the quota of a new round.

--- a/src/forward/accounts.c
+++ b/src/forward/accounts.c
@@ -157,8 +157,11 @@
 	GHashTableIter iter;
 	struct account_state *s;
 
-	accounts_of(r);
+	s = accounts_of(r);
 	accounts_count(r->fwd, r->service->name, now);
+	/* One that is repeated is still in the state of its last attempt. */
+	if (r->state != REQUEST_WAITING && !request_is_urgent(r))
+		demand_add(&s->queued, request_residency(r), r->need_tokens);
 	guint max = g_hash_table_size(a->by_name);
 	*c = (struct account_claims){
 		.claims = g_new0(struct account_claim, max),
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -362,11 +362,11 @@
 	slog_end(&l);
 }
 
-/* Whether the request may be displaced by `newcomer`. */
-static bool is_displaceable(const struct request *r,
-			    const struct request *newcomer)
+bool request_is_displaceable(const struct request *r,
+			     const struct request *newcomer)
 {
 	return r != newcomer && !r->held && !r->displaced && r->generation &&
+	       !r->stream_begun && !r->may_have_run &&
 	       is_deferrable(r) == is_deferrable(newcomer) &&
 	       r->rank >= newcomer->rank &&
 	       !strcmp(r->service->name, newcomer->service->name);
@@ -383,7 +383,7 @@
 	const struct residency *allowed = request_residency(r);
 
 	list_for_each_entry (o, &r->fwd->waiting, wait_node) {
-		if (!is_displaceable(o, r) ||
+		if (!request_is_displaceable(o, r) ||
 		    !residency_equal(request_residency(o), allowed))
 			continue;
 		size_t i = accounts_index(c, accounts_of(o));
@@ -414,7 +414,7 @@
 	const struct account_claim *own =
 		&c.claims[accounts_index(&c, accounts_of(r))];
 	list_for_each_entry (o, &r->fwd->waiting, wait_node) {
-		if (!is_displaceable(o, r) || o->route != r->route)
+		if (!request_is_displaceable(o, r) || o->route != r->route)
 			continue;
 		size_t i = accounts_index(&c, accounts_of(o));
 		if (i == c.n ||
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -155,6 +155,14 @@
 	struct move move;
 };
 
+/*
+ * Whether the request, which waits, may be displaced by `newcomer`, of another
+ * account.  One that may have run may not: its stream would break off, or its
+ * caller could not safely repeat it.
+ */
+bool request_is_displaceable(const struct request *r,
+			     const struct request *newcomer);
+
 /* Sends the request to an endpoint, which is not checked for room. */
 void request_send(struct request *r, struct fwd_endpoint *ep, int64_t now);
 
