use: Copy sums by account without a search

A control process copies the sums by account for each host that it sends totals to, and searched the copy for each row.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -418,11 +418,8 @@
 		const Mw__QueueRow *own = find_queue(except, service);
 		GPtrArray *rows = account_rows_new();
 
-		for (guint i = 0; i < sums->len; i++) {
-			const Mw__AccountRow *sum = sums->pdata[i];
-			account_row_add(account_rows_get(rows, sum->account),
-					sum);
-		}
+		for (guint i = 0; i < sums->len; i++)
+			account_rows_append(rows, sums->pdata[i]);
 		for (size_t i = 0;
 		     own && i < MIN(own->n_accounts, ACCOUNT_ROWS_MAX); i++)
 			account_row_subtract(
--- a/src/wire/account_rows.c
+++ b/src/wire/account_rows.c
@@ -20,6 +20,16 @@
 	return g_ptr_array_new_with_free_func(row_free);
 }
 
+static Mw__AccountRow *append_row(GPtrArray *rows, const char *account)
+{
+	Mw__AccountRow *row = g_new0(Mw__AccountRow, 1);
+
+	mw__account_row__init(row);
+	row->account = g_strdup(account);
+	g_ptr_array_add(rows, row);
+	return row;
+}
+
 Mw__AccountRow *account_rows_get(GPtrArray *rows, const char *account)
 {
 	for (guint i = 0; i < rows->len; i++) {
@@ -27,11 +37,12 @@
 		if (!strcmp(row->account, account))
 			return row;
 	}
-	Mw__AccountRow *row = g_new0(Mw__AccountRow, 1);
-	mw__account_row__init(row);
-	row->account = g_strdup(account);
-	g_ptr_array_add(rows, row);
-	return row;
+	return append_row(rows, account);
+}
+
+void account_rows_append(GPtrArray *rows, const Mw__AccountRow *row)
+{
+	account_row_add(append_row(rows, row->account), row);
 }
 
 Mw__RegionQueue *account_row_restricted(Mw__AccountRow *row,
--- a/src/wire/account_rows.h
+++ b/src/wire/account_rows.h
@@ -23,6 +23,9 @@
 GPtrArray *account_rows_new(void);
 /* The row of the account, which is added if there is none. */
 Mw__AccountRow *account_rows_get(GPtrArray *rows, const char *account);
+/* Adds a copy of the row, whose account the list must not have yet; it is not
+ * searched, as control processes copy long lists for each host. */
+void account_rows_append(GPtrArray *rows, const Mw__AccountRow *row);
 /* Adds the amounts of `row` to those of `sum`, or subtracts them. */
 void account_row_add(Mw__AccountRow *sum, const Mw__AccountRow *row);
 void account_row_subtract(Mw__AccountRow *sum, const Mw__AccountRow *row);
