pace: Bound what totals of other hosts can say

Found in review: a prefill of 2^63 tokens overflowed the expectation, and sums without any observed time kept the last factor for ever. test_endpoint_pace passes; the cases themselves are not in a test.

--- a/src/policy/pace.c
+++ b/src/policy/pace.c
@@ -14,6 +14,9 @@
 #define STEP_PREFILL_US 8000
 #define STEP_PREFILL_TOKENS 112
 
+/* Prompt tokens that may wait at an engine, at most. */
+#define PREFILL_MAX 1000000
+
 /* Ratio of observed to expected time that one observation, or the sums of one
  * host, may have: 4 for a slow endpoint, and 4 for a service whose engines are
  * all slower than expected.  Events of 20 to 35 ms, as observed, have a ratio
@@ -92,8 +95,9 @@
 void pace_observe_first(struct pace *p, int64_t wait_us,
 			const struct pace_load *load, int64_t now)
 {
-	int64_t steps =
-		(int64_t)(load->prefill_tokens / STEP_PREFILL_TOKENS) + 1;
+	/* Sums of other hosts may be wrong; engines hold far fewer tokens. */
+	uint64_t tokens = MIN(load->prefill_tokens, (uint64_t)PREFILL_MAX);
+	int64_t steps = (int64_t)(tokens / STEP_PREFILL_TOKENS) + 1;
 
 	int64_t expected_us = steps * step_us(load->generations, true);
 
@@ -151,7 +155,8 @@
 		s.observed_us += p->elsewhere.observed_us;
 		s.expected_us += p->elsewhere.expected_us;
 	}
-	if (s.expected_us >= WEIGHT_MIN_US) {
+	/* Nothing observed in some expected time comes from wrong totals. */
+	if (s.expected_us >= WEIGHT_MIN_US && s.observed_us) {
 		p->ratio = (double)s.observed_us / (double)s.expected_us;
 		p->observed_us = now;
 		p->weight_us = s.expected_us;
