rep: Drop a campaign when its term has another leader

A vote counts as long as its term lasts, also after the candidate has given up. A candidate that had followed another leader of the term, and lost it, still took late votes. If that leader had removed voters meanwhile, the late votes could be a majority of the list that was left without one of the voters that elected that leader: two leaders in one term. The case needs a list of five voters of which two are removed, and a vote that a stalled disk holds back for as long.

A message of the term's leader now ends the own campaign.

test_vote_after_other_leader of test_rep_late failed before (the voter became leader of term 2 after it had followed voter 2 in that term) and passes.

--- a/src/rep/rep_election.c
+++ b/src/rep/rep_election.c
@@ -56,6 +56,12 @@
 void rep_on_leader_contact(struct rep *r, const struct rep_msg *m)
 {
 	r->no_leader_since_start = false;
+	/*
+	 * The term has a leader.  A late vote must not complete the own
+	 * campaign: the leader may have removed voters, and what is a majority
+	 * of the list that is left need not share a voter with its own.
+	 */
+	r->campaign_term = 0;
 	assert(r->role != REP_LEADER);
 	assert(!r->leader || r->leader == m->from);
 	if (r->role != REP_FOLLOWER || r->leader != m->from)
--- a/tests/test_rep_late.c
+++ b/tests/test_rep_late.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "check_main.h"
 #include "rep/rep.h"
+#include "rep/rep_wire.h"
 
 #define N 3
 #define MSEC USEC_PER_MSEC
@@ -355,10 +356,94 @@
 }
 END_TEST
 
+static void sync_output(struct rep *r, int64_t now)
+{
+	struct rep_output out;
+
+	rep_take_output(r, &out);
+	if (out.write_seq)
+		rep_synced(r, now, out.write_seq);
+	rep_output_release(&out);
+}
+
+static void step_reply(struct rep *r, int64_t now, uint32_t type, uint32_t from)
+{
+	struct rep_msg *m = rep_msg_new(type, from, 1, 2);
+
+	m->ok = true;
+	m->sent_us = now;
+	rep_step(r, now, m);
+	rep_msg_free(m);
+	sync_output(r, now);
+}
+
+/* Sends entries 2 to 4 of term 2, of which the last two shrink the list. */
+static void step_shrinking_entries(struct rep *r, int64_t now)
+{
+	static const struct rep_voters lists[] = {
+		{.n = 4, .v = {{.id = 1}, {.id = 2}, {.id = 3}, {.id = 4}}},
+		{.n = 3, .v = {{.id = 1}, {.id = 2}, {.id = 4}}}};
+	struct rep_msg *m = rep_msg_new(REP_APPEND, 2, 1, 2);
+
+	m->prev_index = m->prev_term = 1;
+	m->commit = 4;
+	m->entries = g_ptr_array_new_with_free_func(rep_entry_unref);
+	g_ptr_array_add(m->entries, rep_entry_new(2, 2, REP_ENTRY_NOOP, "", 0));
+	for (uint64_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		g_autoptr(GByteArray) data = g_byte_array_new();
+
+		rep_voters_pack(&lists[i], data);
+		g_ptr_array_add(m->entries,
+				rep_entry_new(3 + i, 2, REP_ENTRY_VOTERS,
+					      data->data, data->len));
+	}
+	rep_step(r, now, m);
+	rep_msg_free(m);
+	sync_output(r, now);
+}
+
+/*
+ * Guards against two leaders in one term: a vote that a stalled disk held back
+ * arrives after another candidate of the term has led, has removed voters, and
+ * was lost.  In the list that is left, the late vote would be a majority.
+ */
+START_TEST(test_vote_after_other_leader)
+{
+	struct rep_voters vs = {.n = 5};
+	struct rep_cfg cfg = {.id = 1, .seed = 1};
+	struct rep_stored stored = {0};
+	int64_t now = 1000 * SEC;
+	struct rep *r = rep_new(&cfg, &stored, now);
+
+	for (uint32_t i = 0; i < vs.n; i++)
+		vs.v[i].id = i + 1;
+	ck_assert_int_eq(rep_bootstrap(r, now, &vs), 0);
+	sync_output(r, now);
+	now += 3 * SEC;
+	rep_tick(r, now);
+	sync_output(r, now);
+	step_reply(r, now, REP_PREVOTE_REPLY, 2);
+	step_reply(r, now, REP_PREVOTE_REPLY, 3);
+	ck_assert_int_eq(rep_role(r), REP_CANDIDATE);
+	ck_assert_uint_eq(rep_term(r), 2);
+	step_shrinking_entries(r, now);
+	ck_assert_uint_eq(rep_leader(r), 2);
+	ck_assert_uint_eq(rep_voters(r)->n, 3);
+	now += 5 * SEC;
+	rep_tick(r, now);
+	sync_output(r, now);
+	ck_assert_int_eq(rep_role(r), REP_PRECANDIDATE);
+	step_reply(r, now, REP_VOTE_REPLY, 4);
+	ck_assert_int_ne(rep_role(r), REP_LEADER);
+	rep_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_leader_lost, test_lockstep,
-				      test_disk_stall, test_stopped_process};
+				      test_disk_stall, test_stopped_process,
+				      test_vote_after_other_leader};
 
 	return check_main("rep_late", tests, G_N_ELEMENTS(tests));
 }
