fetch: Give back a collected body before its owner has it

The bodies that a fetcher collects were counted until after the owner's done callback, in which the owner counts the same bytes again as the answer to its caller: for that time an answer took three times its length, and it or the answers of others could be shed although there was room. They are given back before the callback.

--- a/src/net/fetch.c
+++ b/src/net/fetch.c
@@ -125,6 +125,14 @@
 			     clock_mono_us());
 }
 
+/* The owner has the body now, and counts it if it keeps it. */
+static void uncount_collected(struct fetch *f)
+{
+	f->fr->body_bytes -= f->collected_bytes;
+	f->collected_bytes = 0;
+	count_bodies(f->fr);
+}
+
 static void fetch_end(struct fetch *f)
 {
 	struct fetcher *fr = f->fr;
@@ -140,9 +148,7 @@
 	}
 	fr->head_bytes -= f->head_bytes;
 	f->head_bytes = 0;
-	fr->body_bytes -= f->collected_bytes;
-	f->collected_bytes = 0;
-	count_bodies(fr);
+	uncount_collected(f);
 	list_del(&f->pending_link);
 	list_del(&f->link);
 	list_add(&fr->free_transfers, &f->link);
@@ -176,6 +182,7 @@
 		r.err = FETCH_TIMEOUT;
 	else
 		r.err = FETCH_BROKEN;
+	uncount_collected(f);
 	if (!f->cancelled) {
 		f->ops->done(f->arg, f, &r);
 		f->cancelled = 1;
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -49,6 +49,26 @@
 
 static const struct fetch_ops ops = {NULL, on_data, on_done};
 
+static struct membudget *budget_when_done;
+static size_t used_when_done;
+
+static void limit_on_headers(void *arg, struct fetch *f, int code)
+{
+	(void)arg;
+	(void)code;
+	fetch_limit_body(f, 100000);
+}
+
+static void note_used_when_done(void *arg, struct fetch *f,
+				const struct fetch_result *r)
+{
+	on_done(arg, f, r);
+	used_when_done = budget_when_done->used;
+}
+
+static const struct fetch_ops limited_ops = {limit_on_headers, on_data,
+					     note_used_when_done};
+
 static struct fetch *start(const char *method, unsigned flags, int timeout_ms,
 			   int *flag)
 {
@@ -228,6 +248,39 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that is counted as collected while its owner passes
+ * it on and counts it too: it or others would be shed for want of room.
+ */
+START_TEST(test_body_is_given_back_before_done)
+{
+	struct membudget budget;
+	char url[64];
+
+	membudget_init(&budget, 16);
+	fetcher_set_budget(client, &budget);
+	budget_when_done = &budget;
+	used_when_done = 1;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/", port);
+	fetch_start(client,
+		    &(struct fetch_spec){.method = "GET",
+					 .url = url,
+					 .connect_timeout_ms = 200},
+		    &limited_ops, NULL);
+	int fd = serve(-1);
+	answer(fd, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi");
+	RUN_UNTIL(budget.used);
+	answer(fd, "hi");
+	RUN_UNTIL(done == 1);
+	ck_assert_uint_eq(used_when_done, 0);
+	ck_assert_uint_eq(budget.used, 0);
+	close(fd);
+	fetcher_free(client);
+	membudget_release(&budget);
+	client = fetcher_new(loop, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("fetch");
@@ -239,6 +292,7 @@
 	tcase_add_test(tc, test_sent_on_kept_connection);
 	tcase_add_test(tc, test_error_kinds);
 	tcase_add_test(tc, test_cancel_in_callback);
+	tcase_add_test(tc, test_body_is_given_back_before_done);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
 	srunner_run_all(sr, CK_ENV);
