place: Fill up by the request's costs of the distance for all data centres

The costs of the distance of a request (--leave-dc) applied to the endpoints as the choosing host sees them, but what hosts of other data centres fill up was computed with the fixed costs. Where leaving is dear, they were expected here although they stay, so that the least loaded endpoint got all or few of the requests. Without the flag nothing changes.

--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -193,8 +193,8 @@
 	const struct place_groups *p = arg;
 
 	if (from == to)
-		return distance_cost_us[0];
-	return distance_cost_us
+		return p->distance_us[0];
+	return p->distance_us
 		[p->region[from] && p->region[from] == p->region[to] ? 1 : 2];
 }
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -350,6 +350,39 @@
 }
 END_TEST
 
+/*
+ * Guards against costs of the distance that are the request's for this host and
+ * fixed ones for others: if leaving is dear, hosts of the other data centre are
+ * expected to stay in it, and do not fill up the endpoints here.
+ */
+START_TEST(test_distance_of_others)
+{
+	static const int64_t dear_us[] = {0, 6000, 2000000};
+	struct place_target t[] = {make_engine(0, 0, 0),
+				   make_engine(0, 0, 1000),
+				   make_engine(0, 0, 4000)};
+	unsigned int idle = 0;
+
+	t[2].group = 1;
+	t[2].distance = 2;
+	for (int n = 0; n < 100; n++) {
+		const struct place_request r = {.generation = true,
+						.prompt_tokens = 1000,
+						.need_tokens = 4000,
+						.unseen = 6,
+						.random = n / 100.0,
+						.distance_us = dear_us};
+		size_t i = 9;
+
+		ck_assert_int_eq(place_choose(t, 3, &r, &i), PLACE_OK);
+		idle += i == 0;
+	}
+	/* Three arrivals are filled up here, and none from elsewhere. */
+	ck_assert_uint_ge(idle, 60);
+	ck_assert_uint_le(idle, 75);
+}
+END_TEST
+
 /*
  * Guards against six hosts that choose the same endpoint, as their counts are
  * 0.1 s old, and place more there than its memory can hold.
@@ -474,15 +507,23 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {
-		test_avoids_prefill,   test_pace,
-		test_memory_and_slots, test_unusable,
-		test_distance,	       test_stale_counts,
-		test_budget,	       test_budget_of_many_hosts,
-		test_engine_queue,     test_moves_spread,
-		test_moves_need_room,  test_flood_fills_memory,
-		test_prefill_bounded,  test_capacity,
-		test_rate_limited,     test_cold};
+	const TTest *const tests[] = {test_avoids_prefill,
+				      test_pace,
+				      test_memory_and_slots,
+				      test_unusable,
+				      test_distance,
+				      test_distance_of_others,
+				      test_stale_counts,
+				      test_budget,
+				      test_budget_of_many_hosts,
+				      test_engine_queue,
+				      test_moves_spread,
+				      test_moves_need_room,
+				      test_flood_fills_memory,
+				      test_prefill_bounded,
+				      test_capacity,
+				      test_rate_limited,
+				      test_cold};
 
 	return check_main("place", tests, sizeof(tests) / sizeof(*tests));
 }
