--- a/src/forward/spread.c
+++ b/src/forward/spread.c
@@ -81,11 +81,13 @@
 
 /*
  * Adds what the arrivals of the other groups add to the costs.  The groups take
- * turns, as each avoids what the others fill.
+ * turns, as each avoids what the others fill, from `first` on.  It is another
+ * one for each request: the first one gets more of what is cheap, and hosts
+ * number the groups differently.
  */
 static void add_other_groups(struct spread_item *items, size_t n,
 			     const struct spread_groups *groups,
-			     int64_t work_us)
+			     int64_t work_us, unsigned int first)
 {
 	int64_t distance_us[SPREAD_GROUPS_MAX + 1][SPREAD_GROUPS_MAX];
 	g_autofree int64_t *filled_us = g_new0(int64_t, n);
@@ -99,7 +101,8 @@
 		CLAMP(work_us / FILL_STEP_US, FILL_STEPS_MIN, FILL_STEPS_MAX);
 	int64_t step_us = work_us / steps;
 	for (int64_t step = 0; step < steps; step++)
-		for (unsigned int g = 0; g < groups->n; g++) {
+		for (unsigned int k = 0; k < groups->n; k++) {
+			unsigned int g = (first + k) % groups->n;
 			size_t i = find_cheapest(items, n, filled_us,
 						 distance_us[g]);
 			int64_t us = (int64_t)((double)step_us * items[i].pace);
@@ -120,7 +123,8 @@
 	assert(n && groups->n && groups->n <= SPREAD_GROUPS_MAX + 1);
 	qsort(items, n, sizeof(*items), compare_items);
 	if (groups->n > 1 && work_us > 0)
-		add_other_groups(items, n, groups, (int64_t)work_us);
+		add_other_groups(items, n, groups, (int64_t)work_us,
+				 items[0].tie_breaker % groups->n);
 	for (size_t i = 0; i < n; i++)
 		items[i].cost_us += items[i].distance_us;
 	qsort(items, n, sizeof(*items), compare_items);
