warmup: Compute used slots with the present period

Cause: a host assumes 300 hosts until control has counted them, and a request sent in that time stored the end of its slot as a time: up to two periods of 49.5 s ahead for model services. It stayed after the count, so a host used no endpoint that turned cold if it had sent to it in the first 3 s.

Change: the state holds the time of the last request and the slots that it uses; their end is computed with the period in use.

Result: test_cold_after_count fails before and passes after; the closed models of test_warmup keep the bound.

--- a/src/policy/warmup.c
+++ b/src/policy/warmup.c
@@ -161,6 +161,19 @@
 	return now - (now + offset_us) % pace->period_us;
 }
 
+/*
+ * Start of the first slot that is not used by requests sent before.  It depends
+ * on the present period: one sent while the number of hosts was not known must
+ * not use a slot of the long period that was assumed then.
+ */
+static int64_t next_slot_us(const struct warmup *w,
+			    const struct warmup_pace *pace)
+{
+	if (!w->sent_us)
+		return 0;
+	return slot_start(w, pace, w->sent_us) + w->slots * pace->period_us;
+}
+
 /*
  * Whether the host may send to the endpoint in this second although many want
  * it.  Seconds begin at another time for each host and endpoint.
@@ -180,7 +193,7 @@
 		     double wanted_per_s, int64_t now)
 {
 	if (warmup_is_cold(w, pace, now))
-		return now >= w->next_us &&
+		return now >= next_slot_us(w, pace) &&
 		       now - slot_start(w, pace, now) < pace->open_us;
 	if (!pace->warm_interval_us)
 		return true;
@@ -199,11 +212,12 @@
 {
 	if (!pace->period_us)
 		return;
-	int64_t start_us = slot_start(w, pace, now);
+	int64_t ahead_us = next_slot_us(w, pace) - slot_start(w, pace, now);
+	int64_t ahead = ahead_us > 0 ? ahead_us / pace->period_us : 0;
 
 	/* What was sent while warm counts after it has become cold, but not
 	 * for longer than a copy and its resume. */
-	w->next_us = MIN(MAX(w->next_us, start_us) + n * pace->period_us,
-			 start_us + SENT_SLOTS_MAX * pace->period_us);
+	w->slots = (unsigned int)MIN(ahead + n, SENT_SLOTS_MAX);
+	w->sent_us = now;
 	w->warm_due_us = MAX(w->warm_due_us, now) + n * pace->warm_interval_us;
 }
--- a/src/policy/warmup.h
+++ b/src/policy/warmup.h
@@ -98,7 +98,8 @@
 	int64_t cold_until_us; /* 0: warm */
 	int64_t assumed_us;    /* last time that it was assumed to be cold; 0:
 				  never, or an announcement was made later */
-	int64_t next_us;       /* no request while cold before this time */
+	int64_t sent_us;       /* last request; 0: never */
+	unsigned int slots;    /* used from that time on, in periods */
 	int64_t warm_due_us;   /* when the requests sent while warm are due */
 };
 
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -341,6 +341,26 @@
 }
 END_TEST
 
+/* Guards against an endpoint that gets nothing while it is cold as a request
+ * was sent to it before the hosts were counted, when slots were far apart. */
+START_TEST(test_cold_after_count)
+{
+	const struct warmup_pace assumed =
+		warmup_pace(&model_limits, WARMUP_HOSTS_MAX);
+	const struct warmup_pace pace = warmup_pace(&model_limits, 15);
+	struct warmup w;
+	bool has_room = false;
+
+	warmup_init(&w, 0.5);
+	warmup_record_sent(&w, &assumed, 1, 10 * SEC);
+	warmup_announce(&w, 60 * SEC, 0, 12 * SEC);
+	for (int64_t t = 12 * SEC; t < 12 * SEC + 2 * pace.period_us;
+	     t += STEP_US)
+		has_room |= warmup_has_room(&w, &pace, 0, t);
+	ck_assert(has_room);
+}
+END_TEST
+
 /* Guards against a failed endpoint that is used as a warm one because of an
  * announcement made before the failure, and against one that stays cold. */
 START_TEST(test_assumed)
@@ -408,6 +428,7 @@
 		test_power_loss,
 		test_stale_count,
 		test_cold_after_load,
+		test_cold_after_count,
 		test_cut_off_and_added,
 		test_learned_late,
 		test_warm_load,
