forward, cli: Find entries that cannot match and limits that cannot hold

The largest sizes of a request that hosts accept move to plan.h, as a plan that states more is reported.

--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -25,16 +25,10 @@
 /* Idle connections to endpoints that are kept open for copy orders. */
 #define IDLE_CONNS_MAX 16
 
-/* Largest request body; other limits of callers are in the published plan. */
-#define BODY_MAX_BYTES (4u << 20)
-
 /* Time for which a connection may be without traffic, unless the plan has more.
  */
 #define IDLE_TIMEOUT_S 30
 
-/* Headers of a request, in bytes; callers send at most 16 KiB by default. */
-#define HEADER_MAX_BYTES (32 << 10)
-
 /*
  * Connections of callers, each of which may hold iface.conn_memory_bytes; fewer
  * if the limits of the machine say so.  While there are more than four fifths
@@ -230,8 +224,8 @@
 	int conns =
 		membudget_conns(CONNS_MAX, f->conf->memory_limit_mb,
 				f->iface->conn_memory_bytes, f->conf->max_fds);
-	struct httpd_config cfg = {.max_body = BODY_MAX_BYTES,
-				   .max_header = HEADER_MAX_BYTES,
+	struct httpd_config cfg = {.max_body = PLAN_BODY_MAX_BYTES,
+				   .max_header = PLAN_HEADER_MAX_BYTES,
 				   .max_conns = conns,
 				   .max_kept = conns / 5 * 4,
 				   .budget = &f->memory,
--- a/src/forward/plan.h
+++ b/src/forward/plan.h
@@ -15,6 +15,13 @@
  * was admitted under.
  */
 
+/*
+ * Hosts accept requests up to these sizes also if a plan states more or
+ * nothing.  Callers send at most 16 KiB of headers by default.
+ */
+#define PLAN_HEADER_MAX_BYTES (32u << 10)
+#define PLAN_BODY_MAX_BYTES (4u << 20)
+
 /* The regions that a route or an account allows. */
 struct plan_regions {
 	const char **names;	  /* interned in plan::region_names */
--- /dev/null
+++ b/tests/test_plan_check.c
@@ -0,0 +1,225 @@
+#include "check_main.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "cli/check_tree.h"
+#include "forward/plan_check.h"
+
+static const struct plan_names names = {
+	.routes = "routes",
+	.services = "services",
+	.accounts = "accounts",
+	.limits = "limits",
+	.host = "host",
+	.prefix = "prefix",
+	.regions = "regions",
+	.keys = "keys",
+	.timeout = "timeout",
+	.target_latency = "latency",
+	.target_gap = "gap",
+	.max_endpoints = "attempts",
+	.max_header = "max_header",
+	.max_body = "max_body",
+	.header_time = "header_time",
+	.idle_time = "idle_time",
+};
+
+/* A plan without findings: route r of service s, and account a with a key. */
+static struct plan *plan;
+static struct plan_route *route;
+static struct plan_account *account;
+static struct residency_map map;
+
+static void make_plan(void)
+{
+	plan = plan_new();
+	plan->needs_keys = true;
+	route = plan_add_route(plan, "r", "h", "/");
+	route->timeout_us = 900 * USEC_PER_MSEC;
+	route->max_endpoints = 2;
+	plan_add_backend(route, plan_add_service(plan, "s"), 1);
+	account = plan_add_account(plan, "a");
+	plan_add_key(plan, "k", account);
+	memset(&map, 0, sizeof(map));
+	residency_map_add(&map, "west", "eu");
+	residency_map_add(&map, "south", "us");
+}
+
+/* Frees the plan; its findings as lines of "PATH TEXT". */
+static char *findings_text(const struct residency_map *regions)
+{
+	struct plan_check c = {.plan = plan,
+			       .names = &names,
+			       .regions = regions,
+			       .default_latency_us = 1000 * USEC_PER_MSEC};
+	g_autoptr(GPtrArray) out = findings_new();
+	GString *s = g_string_new(NULL);
+
+	plan_index_routes(plan);
+	plan_check_all(&c, out);
+	for (guint i = 0; i < out->len; i++) {
+		const struct finding *f = out->pdata[i];
+		g_string_append_printf(s, "%s %s\n", f->path, f->text);
+	}
+	plan_unref(plan);
+	return g_string_free(s, FALSE);
+}
+
+static void expect_finding(const char *beginning)
+{
+	g_autofree char *text = findings_text(&map);
+
+	ck_assert_msg(g_str_has_prefix(text, beginning) &&
+			      strchr(text, '\n')[1] == '\0',
+		      "%s instead of %s", text, beginning);
+}
+
+/* Guards against findings on a proper plan, also with default values. */
+START_TEST(test_nothing_found)
+{
+	make_plan();
+	route->target_latency_us = 1000 * USEC_PER_MSEC;
+	plan_add_region(plan, &route->regions, "eu");
+	plan_add_region(plan, &account->regions, "us");
+	plan_add_region(plan, &account->regions, "eu");
+	plan->header_us = 3000 * USEC_PER_MSEC;
+	plan->max_header = 16384;
+	g_autofree char *text = findings_text(&map);
+	ck_assert_str_eq(text, "");
+}
+END_TEST
+
+/* Guards against missing an entry that can never match. */
+START_TEST(test_never_matches)
+{
+	struct plan_route *other;
+
+	make_plan();
+	other = plan_add_route(plan, "q", "H", "/");
+	other->timeout_us = other->max_endpoints = 1;
+	expect_finding("routes/q:prefix never chosen: routes/r ");
+	make_plan();
+	other = plan_add_route(plan, "q", "h", "x");
+	other->timeout_us = other->max_endpoints = 1;
+	expect_finding("routes/q:prefix matches no path");
+	make_plan();
+	other = plan_add_route(plan, "q", "", "/x");
+	other->timeout_us = other->max_endpoints = 1;
+	expect_finding("routes/q:host ");
+	make_plan();
+	plan_add_backend(route, plan_add_service(plan, "t"), 0);
+	expect_finding("services/t no route ");
+	make_plan();
+	plan_add_account(plan, "b");
+	expect_finding("accounts/b:keys the account has no key");
+	make_plan();
+	route->is_public = true;
+	expect_finding("accounts/a:keys all routes are public");
+}
+END_TEST
+
+/* Guards against missing requests that no region may serve. */
+START_TEST(test_regions)
+{
+	make_plan();
+	plan_add_region(plan, &route->regions, "moon");
+	expect_finding("routes/r:regions region 'moon' has no data centre");
+	make_plan();
+	plan_add_region(plan, &route->regions, "moon");
+	g_autofree char *text = findings_text(NULL);
+	ck_assert_str_eq(text, ""); /* data centres are not known */
+	make_plan();
+	plan_add_region(plan, &route->regions, "eu");
+	plan_add_region(plan, &account->regions, "us");
+	g_autofree char *both = findings_text(&map);
+	ck_assert_ptr_nonnull(strstr(both, "routes/r:regions no region in "
+					   "common with accounts/a"));
+	ck_assert_ptr_nonnull(strstr(both, "accounts/a:keys no route"));
+}
+END_TEST
+
+/* Guards against missing limits that cannot hold together. */
+START_TEST(test_limits)
+{
+	make_plan();
+	route->target_latency_us = 901 * USEC_PER_MSEC;
+	expect_finding("routes/r:latency 901 ms is above timeout, 900 ms");
+	make_plan();
+	route->target_gap_us = 1;
+	expect_finding("routes/r:gap has no effect");
+	make_plan();
+	route->kind = PLAN_STREAM;
+	route->target_gap_us = 901 * USEC_PER_MSEC;
+	expect_finding("routes/r:gap 901 ms is above");
+	make_plan();
+	route->max_endpoints = 0;
+	expect_finding("routes/r:attempts 0 ");
+	make_plan();
+	route->max_endpoints = (unsigned int)-1;
+	expect_finding("routes/r:attempts a number below 0");
+	make_plan();
+	plan->max_header = 2;
+	plan->max_body = 1;
+	expect_finding("limits:max_header 2 bytes");
+	make_plan();
+	plan->max_header = (32 << 10) + 1;
+	expect_finding("limits:max_header hosts accept 32768 bytes only");
+	make_plan();
+	plan->max_body = (4 << 20) + 1;
+	expect_finding("limits:max_body hosts accept 4194304 bytes only");
+	make_plan();
+	plan->header_us = 2 * USEC_PER_MSEC;
+	plan->idle_us = 1 * USEC_PER_MSEC;
+	expect_finding("limits:header_time 2 ms");
+}
+END_TEST
+
+/* Guards against missing settings of the tree that have no effect together. */
+START_TEST(test_tree)
+{
+	static const char json[] =
+		"{\"nodes\":{\"ranks/a\":{\"level\":0,\"queue_max\":9},"
+		"\"ranks/b\":{\"level\":1},\"models/m\":{\"context_tokens\":5},"
+		"\"system\":{\"retry_budget_percent\":0,"
+		"\"ledger_max_keys\":1,\"ledger_max_keys_per_account\":2},"
+		"\"dcs/west\":{\"region\":\"eu\"},"
+		"\"routes/r\":{\"model\":\"m\",\"rank\":\"b\",\"max_tokens\":6,"
+		"\"service\":\"s\",\"retries_max\":1,\"deadline_ms\":1,"
+		"\"allowed_regions\":[\"eu\"]},"
+		"\"accounts/x\":{\"ranks\":[\"a\"],\"queue_max\":10,"
+		"\"allowed_regions\":[\"us\"],\"key_hash\":[\"0000000000000000"
+		"000000000000000000000000000000000000000000000001\"]}},"
+		"\"version\":1}";
+	static const char *const paths[] = {
+		"routes/r:service",
+		"routes/r:max_tokens",
+		"routes/r:resume_window_ms",
+		"routes/r:retries_max",
+		"accounts/x:key_hash",
+		"accounts/x:queue_max",
+		"routes/r:allowed_regions",
+		"accounts/x:allowed_regions",
+		"system:ledger_max_keys_per_account"};
+	g_autoptr(GPtrArray) out = findings_new();
+	struct tree_err err;
+	struct tree *t;
+
+	ck_assert_msg(!tree_parse(json, strlen(json), &t, &err), "%s %s",
+		      err.path, err.reason);
+	check_tree(t, out);
+	ck_assert_uint_eq(out->len, G_N_ELEMENTS(paths));
+	for (guint i = 0; i < out->len; i++)
+		ck_assert_str_eq(((struct finding *)out->pdata[i])->path,
+				 paths[i]);
+	tree_unref(t);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_nothing_found, test_never_matches,
+				      test_regions, test_limits, test_tree};
+
+	return check_main("plan_check", tests, G_N_ELEMENTS(tests));
+}
