--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -14,7 +14,8 @@
  * cli_args.c parses flags and names the command, cli_http.c asks processes,
  * cli_tree.c, cli_fleet.c, cli_status.c and cli_timeline.c hold the commands,
  * cli_merge.c and cli_degraded.c what status says, cli_text.c tables and error
- * lines.
+ * lines.  cli_check.c checks a file of settings with check_tree.c and prints
+ * with check_report.c, which the check of published documents shares.
  */
 
 #define CLI_VERSION "0.1"
@@ -26,6 +27,7 @@
 	CLI_UNREACHABLE = 3,
 	CLI_UNKNOWN = 4,
 	CLI_DEGRADED = 5, /* status --check only */
+	CLI_WARNINGS = 6, /* check only: warnings, no errors */
 };
 
 /* Flags; strings are NULL and numbers 0 if not given. */
@@ -74,6 +76,8 @@
 int cli_load_key(struct cli *c);
 void cli_release(struct cli *c);
 
+/* Prints output, errors and hint, releases c; returns the exit status. */
+int cli_finish(struct cli *c, int status);
 /* Parses and runs; prints; returns the exit status. */
 int cli_main(int argc, char **argv);
 
@@ -210,6 +214,7 @@
 int cli_tree_apply(struct cli *c);
 int cli_tree_diff_cmd(struct cli *c);
 int cli_tree_history(struct cli *c);
+int cli_check(struct cli *c);
 int cli_status(struct cli *c);
 int cli_endpoints(struct cli *c);
 int cli_timeline(struct cli *c);
--- a/src/cli/cli_args.c
+++ b/src/cli/cli_args.c
@@ -24,6 +24,10 @@
 	 cli_tree_diff_cmd},
 	{"tree history", "", "show the last changes", 0, 0, 0,
 	 cli_tree_history},
+	{"check", "FILE",
+	 "check a file of settings or edits before it is sent; with --admin, "
+	 "show what it changes",
+	 1, 1, 1, cli_check},
 	{"status", "", "show the fleet, what is cut off and what is degraded",
 	 0, 0, 0, cli_status},
 	{"endpoints", "", "show all endpoints", 0, 0, 0, cli_endpoints},
@@ -171,7 +175,7 @@
 			   "MUSTARDWALL_KEY_FILE.\nExit status: 0 success, 1 "
 			   "refused, 2 usage, 3 not reachable, 4 outcome "
 			   "unknown,\n5 something is degraded (status "
-			   "--check).");
+			   "--check), 6 warnings only (check).");
 	return g_string_free(s, FALSE);
 }
 
@@ -323,28 +327,33 @@
 	memset(c, 0, sizeof(*c));
 }
 
-int cli_main(int argc, char **argv)
+int cli_finish(struct cli *c, int status)
 {
-	struct cli c = {0};
-	int status = CLI_OK;
-	const struct cli_command *cmd = cli_parse(&c, argc, argv, &status);
-
-	if (cmd)
-		status = cmd->local ? CLI_OK : cli_load_key(&c);
-	if (cmd && status == CLI_OK)
-		status = cmd->run(&c);
-	if (c.out.len)
-		fwrite(c.out.data, 1, c.out.len, stdout);
+	if (c->out.len)
+		fwrite(c->out.data, 1, c->out.len, stdout);
 	g_auto(GStrv) lines =
-		g_strsplit(c.err.len ? buf_head(&c.err) : "", "\n", -1);
+		g_strsplit(c->err.len ? buf_head(&c->err) : "", "\n", -1);
 	for (char **line = lines; *line; line++)
 		if (**line)
 			fprintf(stderr, "mustardwall: %s\n", *line);
-	const char *hint = cli_hint(&c, status);
+	const char *hint = cli_hint(c, status);
 	if (hint)
 		fprintf(stderr, "mustardwall: next: %s\n", hint);
 	if (fflush(stdout) != 0 && status == CLI_OK)
 		status = CLI_REFUSED;
-	cli_release(&c);
+	cli_release(c);
 	return status;
 }
+
+int cli_main(int argc, char **argv)
+{
+	struct cli c = {0};
+	int status = CLI_OK;
+	const struct cli_command *cmd = cli_parse(&c, argc, argv, &status);
+
+	if (cmd)
+		status = cmd->local ? CLI_OK : cli_load_key(&c);
+	if (cmd && status == CLI_OK)
+		status = cmd->run(&c);
+	return cli_finish(&c, status);
+}
--- a/src/cli/cli_hint.c
+++ b/src/cli/cli_hint.c
@@ -72,7 +72,8 @@
 	    !strstr(buf_head(&c->err), "--help") &&
 	    !strstr(buf_head(&c->err), "usage:"))
 		return "see mustardwall --help";
-	if (status == CLI_REFUSED)
+	/* The findings tell what to change. */
+	if (status == CLI_REFUSED && strcmp(command, "check") != 0)
 		return "mustardwall status shows the fleet; nothing has "
 		       "changed";
 	return NULL;
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -448,6 +448,103 @@
 }
 END_TEST
 
+/* Runs "check" on a file with the text; without a server if answer is NULL. */
+static int check_file(const char *text, const char *answer, const char *flags)
+{
+	g_autofree char *name =
+		g_strdup_printf("/tmp/mw_check_%d.json", (int)getpid());
+	g_autofree char *line = g_strdup_printf("check|%s%s", name, flags);
+	int status;
+
+	ck_assert(g_file_set_contents(name, text, -1, NULL));
+	if (answer) {
+		listen_on_loopback();
+		server.answers[0] = answer;
+		status = run(line);
+	} else {
+		const struct cli_command *cmd = parse(line, &status);
+		ck_assert_ptr_nonnull(cmd);
+		status = cmd->run(&c);
+	}
+	unlink(name);
+	return status;
+}
+
+/* Guards against an exit status that lets a script send a refused file. */
+START_TEST(test_check_status)
+{
+	static const struct {
+		const char *text;
+		int status;
+		const char *output;
+	} cases[] = {
+		{"{\"routes/r\":{\"kind\":\"service\",\"service\":\"s\"}}",
+		 CLI_OK, "errors: 0, warnings: 0"},
+		{"{\"routes/r\":{\"kind\":\"service\",\"service\":\"s\","
+		 "\"allowed_regions\":[\"eu\"]}}",
+		 CLI_WARNINGS, "region 'eu' has no data centre"},
+		{"{\"routes/r\":{\"modl\":1}}", CLI_REFUSED, "routes/r:modl"},
+		{"{\"nodes\":{\"ranks/r\":{\"level\":\"x\"}},\"version\":1}",
+		 CLI_REFUSED, "ranks/r:level"},
+		{"{\"routes/r\":", CLI_REFUSED, "not JSON: line 1"},
+		{"[]", CLI_REFUSED, "JSON object of nodes"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ck_assert_int_eq(check_file(cases[i].text, NULL, ""),
+				 cases[i].status);
+		ck_assert_msg(strstr(c.out.data, cases[i].output) != NULL, "%s",
+			      c.out.data);
+		ck_assert_ptr_nonnull(strstr(c.out.data, "are left out"));
+	}
+	ck_assert_int_eq(check_file("{}", NULL, "/none"), CLI_USAGE);
+	ck_assert_int_eq(check_file("{}", NULL, "|-j|--admin=127.0.0.1:1"),
+			 CLI_USAGE); /* no key */
+}
+END_TEST
+
+/* Guards against differences that are wrong or to another version. */
+START_TEST(test_check_differences)
+{
+	static const char in_force[] =
+		"{\"nodes\":{\"ranks/a\":{\"level\":0},"
+		"\"accounts/x\":{\"weight\":7}},\"version\":9}";
+
+	ck_assert_int_eq(check_file("{\"accounts/x\":{\"weight\":8},"
+				    "\"accounts/y\":{\"queue_max\":5}}",
+				    in_force, "|--json"),
+			 CLI_OK);
+	AUTO_JSON json_t *o = json_loads(c.out.data, 0, NULL);
+	ck_assert_int_eq(cli_int(o, "version"), 9);
+	expect_json(json_incref(json_object_get(o, "differences")),
+		    "[{\"path\":\"accounts/x\",\"key\":\"weight\","
+		    "\"old\":7,\"now\":8},"
+		    "{\"path\":\"accounts/y\",\"key\":\"queue_max\","
+		    "\"now\":5}]");
+	ck_assert_uint_eq(json_array_size(json_object_get(o, "notes")), 0);
+}
+END_TEST
+
+/* Guards against a report that claims to have compared with what it could not
+ * read, and against an answer that breaks the JSON of the report. */
+START_TEST(test_check_without_version_in_force)
+{
+	static const char *const answers[] = {
+		"{\"nodes\":{\"x\":{}},\"version\":9}", "[", "{}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		ck_assert_int_eq(check_file("{\"accounts/x\":{\"weight\":8}}",
+					    answers[i], "|--json"),
+				 CLI_UNREACHABLE);
+		AUTO_JSON json_t *o = json_loads(c.out.data, 0, NULL);
+		ck_assert_ptr_nonnull(o);
+		ck_assert_ptr_null(json_object_get(o, "differences"));
+		ck_assert_uint_eq(json_array_size(json_object_get(o, "notes")),
+				  2);
+	}
+}
+END_TEST
+
 /* Guards against keys that others can read, and against a wrong hash. */
 START_TEST(test_keys)
 {
@@ -571,6 +668,9 @@
 	tcase_add_test(tc, test_change_without_answer);
 	tcase_add_test(tc, test_refusals_say_what_to_do_next);
 	tcase_add_test(tc, test_timeline_names_silent_processes);
+	tcase_add_test(tc, test_check_status);
+	tcase_add_test(tc, test_check_differences);
+	tcase_add_test(tc, test_check_without_version_in_force);
 	tcase_add_test(tc, test_keys);
 	tcase_add_test(tc, test_endless_answers);
 	suite_add_tcase(s, tc);
