--- a/tests/test_plan_check.c
+++ b/tests/test_plan_check.c
@@ -104,6 +104,10 @@
 	other->timeout_us = other->max_endpoints = 1;
 	expect_finding("routes/q:prefix matches no path");
 	make_plan();
+	other = plan_add_route(plan, "q", "h", "/x?y");
+	other->timeout_us = other->max_endpoints = 1;
+	expect_finding("routes/q:prefix matches no path");
+	make_plan();
 	other = plan_add_route(plan, "q", "", "/x");
 	other->timeout_us = other->max_endpoints = 1;
 	expect_finding("routes/q:host ");
@@ -114,6 +118,10 @@
 	plan_add_account(plan, "b");
 	expect_finding("accounts/b:keys the account has no key");
 	make_plan();
+	g_hash_table_remove_all(plan->by_key);
+	g_ptr_array_set_size(plan->accounts, 0);
+	expect_finding("accounts no account has a key");
+	make_plan();
 	route->is_public = true;
 	expect_finding("accounts/a:keys all routes are public");
 }
