--- a/tests/test_plan_check.c
+++ b/tests/test_plan_check.c
@@ -7,23 +7,9 @@
 #include "forward/plan_check.h"
 
 static const struct plan_names names = {
-	.routes = "routes",
-	.services = "services",
-	.accounts = "accounts",
-	.limits = "limits",
-	.host = "host",
-	.prefix = "prefix",
-	.regions = "regions",
-	.keys = "keys",
-	.timeout = "timeout",
-	.target_latency = "latency",
-	.target_gap = "gap",
-	.max_endpoints = "attempts",
-	.max_header = "max_header",
-	.max_body = "max_body",
-	.header_time = "header_time",
-	.idle_time = "idle_time",
-};
+	"routes",     "services", "accounts",	 "limits",   "host", "prefix",
+	"regions",    "keys",	  "timeout",	 "latency",  "gap",  "attempts",
+	"max_header", "max_body", "header_time", "idle_time"};
 
 /* A plan without findings: route r of service s, and account a with a key. */
 static struct plan *plan;
@@ -90,49 +76,49 @@
 }
 END_TEST
 
-/* Guards against missing an entry that can never match. */
-START_TEST(test_never_matches)
+/* Checks that a plan with one change has one finding. */
+#define EXPECT(FINDING, ...)                                                   \
+	do {                                                                   \
+		make_plan();                                                   \
+		__VA_ARGS__;                                                   \
+		expect_finding(FINDING);                                       \
+	} while (0)
+
+static void add_route(const char *host, const char *prefix)
 {
-	struct plan_route *other;
+	struct plan_route *r = plan_add_route(plan, "q", host, prefix);
 
-	make_plan();
-	other = plan_add_route(plan, "q", "H", "/");
-	other->timeout_us = other->max_endpoints = 1;
-	expect_finding("routes/q:prefix never chosen: routes/r ");
-	make_plan();
-	other = plan_add_route(plan, "q", "h", "x");
-	other->timeout_us = other->max_endpoints = 1;
-	expect_finding("routes/q:prefix matches no path");
-	make_plan();
-	other = plan_add_route(plan, "q", "h", "/x?y");
-	other->timeout_us = other->max_endpoints = 1;
-	expect_finding("routes/q:prefix matches no path");
-	make_plan();
-	other = plan_add_route(plan, "q", "", "/x");
-	other->timeout_us = other->max_endpoints = 1;
-	expect_finding("routes/q:host ");
-	make_plan();
-	plan_add_backend(route, plan_add_service(plan, "t"), 0);
-	expect_finding("services/t no route ");
-	make_plan();
-	plan_add_account(plan, "b");
-	expect_finding("accounts/b:keys the account has no key");
-	make_plan();
+	r->timeout_us = r->max_endpoints = 1;
+}
+
+static void drop_accounts(void)
+{
 	g_hash_table_remove_all(plan->by_key);
 	g_ptr_array_set_size(plan->accounts, 0);
-	expect_finding("accounts no account has a key");
-	make_plan();
-	route->is_public = true;
-	expect_finding("accounts/a:keys all routes are public");
+}
+
+/* Guards against missing an entry that can never match. */
+START_TEST(test_never_matches)
+{
+	EXPECT("routes/q:prefix never chosen: routes/r ", add_route("H", "/"));
+	EXPECT("routes/q:prefix matches no path", add_route("h", "x"));
+	EXPECT("routes/q:prefix matches no path", add_route("h", "/x?y"));
+	EXPECT("routes/q:host ", add_route("", "/x"));
+	EXPECT("services/t no route ",
+	       plan_add_backend(route, plan_add_service(plan, "t"), 0));
+	EXPECT("accounts/b:keys the account has no key",
+	       plan_add_account(plan, "b"));
+	EXPECT("accounts no account has a key", drop_accounts());
+	EXPECT("accounts/a:keys all routes are public",
+	       route->is_public = true);
 }
 END_TEST
 
 /* Guards against missing requests that no region may serve. */
 START_TEST(test_regions)
 {
-	make_plan();
-	plan_add_region(plan, &route->regions, "moon");
-	expect_finding("routes/r:regions region 'moon' has no data centre");
+	EXPECT("routes/r:regions region 'moon' has no data centre",
+	       plan_add_region(plan, &route->regions, "moon"));
 	make_plan();
 	plan_add_region(plan, &route->regions, "moon");
 	g_autofree char *text = findings_text(NULL);
@@ -150,36 +136,24 @@
 /* Guards against missing limits that cannot hold together. */
 START_TEST(test_limits)
 {
-	make_plan();
-	route->target_latency_us = 901 * USEC_PER_MSEC;
-	expect_finding("routes/r:latency 901 ms is above timeout, 900 ms");
-	make_plan();
-	route->target_gap_us = 1;
-	expect_finding("routes/r:gap has no effect");
-	make_plan();
-	route->kind = PLAN_STREAM;
-	route->target_gap_us = 901 * USEC_PER_MSEC;
-	expect_finding("routes/r:gap 901 ms is above");
-	make_plan();
-	route->max_endpoints = 0;
-	expect_finding("routes/r:attempts 0 ");
-	make_plan();
-	route->max_endpoints = (unsigned int)-1;
-	expect_finding("routes/r:attempts a number below 0");
-	make_plan();
-	plan->max_header = 2;
-	plan->max_body = 1;
-	expect_finding("limits:max_header 2 bytes");
-	make_plan();
-	plan->max_header = (32 << 10) + 1;
-	expect_finding("limits:max_header hosts accept 32768 bytes only");
-	make_plan();
-	plan->max_body = (4 << 20) + 1;
-	expect_finding("limits:max_body hosts accept 4194304 bytes only");
-	make_plan();
-	plan->header_us = 2 * USEC_PER_MSEC;
-	plan->idle_us = 1 * USEC_PER_MSEC;
-	expect_finding("limits:header_time 2 ms");
+	const int64_t ms = USEC_PER_MSEC;
+
+	EXPECT("routes/r:latency 901 ms is above timeout, 900 ms",
+	       route->target_latency_us = 901 * ms);
+	EXPECT("routes/r:gap has no effect", route->target_gap_us = 1);
+	EXPECT("routes/r:gap 901 ms is above", route->kind = PLAN_STREAM;
+	       route->target_gap_us = 901 * ms);
+	EXPECT("routes/r:attempts 0 ", route->max_endpoints = 0);
+	EXPECT("routes/r:attempts a number below 0",
+	       route->max_endpoints = (unsigned int)-1);
+	EXPECT("limits:max_header 2 bytes", plan->max_header = 2;
+	       plan->max_body = 1);
+	EXPECT("limits:max_header hosts accept 32768 bytes only",
+	       plan->max_header = (32 << 10) + 1);
+	EXPECT("limits:max_body hosts accept 4194304 bytes only",
+	       plan->max_body = (4 << 20) + 1);
+	EXPECT("limits:header_time 2 ms", plan->header_us = 2 * ms;
+	       plan->idle_us = 1 * ms);
 }
 END_TEST
 
