place: Count on the load of hosts that a cut of control hides

Change: totals state the number of control processes that they cover; hosts missing together with these count with the load of the known ones, spread evenly over the endpoints.

--- a/src/control/use.c
+++ b/src/control/use.c
@@ -376,8 +376,8 @@
 }
 
 /*
- * Adds the number of entry hosts (reports with `loads` are those of control
- * processes) and the queues of all hosts but `except`.
+ * Adds the numbers of entry hosts and control processes (whose reports have
+ * `loads`) and the queues of all hosts but `except`.
  */
 static void add_hosts_and_queues(struct use_table *u,
 				 const struct use_host *except,
@@ -391,6 +391,7 @@
 		if (!h->in_sums)
 			continue;
 		t->hosts += !h->report->loads;
+		t->controls += h->report->loads;
 		for (size_t i = 0; h != except && i < h->report->n_queues; i++)
 			add_queue(t, h->report->queues[i]);
 	}
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -168,10 +168,8 @@
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
 			.open_requests = ep->open_here + ep->open_elsewhere,
-			.needed_tokens =
-				MAX(ep->needed_here_tokens +
-					    ep->needed_elsewhere_tokens,
-				    ep->used_tokens),
+			.needed_tokens = ep->needed_here_tokens +
+					 ep->needed_elsewhere_tokens,
 			.engine_queue = ep->engine_queue,
 			.prefill_tokens = ep->prefill_here_tokens +
 					  ep->prefill_elsewhere_tokens,
@@ -184,6 +182,12 @@
 					  : (unsigned int)ep->region + 1,
 		};
 	}
+	if (r->generation)
+		place_add_unseen_load(c.targets, c.n,
+				      unseen_hosts_ratio(&f->unseen_hosts));
+	for (size_t i = 0; i < c.n; i++)
+		c.targets[i].needed_tokens = MAX(c.targets[i].needed_tokens,
+						 c.endpoints[i]->used_tokens);
 	apply_limits(&c, r, now);
 	return c;
 }
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -278,6 +278,25 @@
 			   row->tokens - restricted);
 }
 
+static void update_unseen_hosts(struct fwd *f, unsigned int controls,
+				int64_t now)
+{
+	struct unseen_hosts *u = &f->unseen_hosts;
+	bool had_unseen = unseen_hosts_ratio(u) > 0;
+	int64_t complete_us = u->complete_us;
+
+	unseen_hosts_update(u, controls, f->n_hosts, now);
+	if ((unseen_hosts_ratio(u) > 0) == had_unseen)
+		return;
+	struct slog l = slog_begin(had_unseen ? "hosts_seen" : "hosts_unseen");
+	slog_int(&l, "hosts", u->hosts);
+	slog_int(&l, "all_hosts", u->all_hosts);
+	slog_int(&l, "controls", u->controls);
+	slog_int(&l, "all_controls", u->all_controls);
+	slog_int(&l, "complete_age_us", now - complete_us);
+	slog_end(&l);
+}
+
 void endpoints_apply_totals(struct fwd *f, const Mw__UseTotals *totals,
 			    int64_t now)
 {
@@ -289,6 +308,7 @@
 
 	f->n_hosts = MAX(totals->hosts, 1u);
 	warmup_hosts_update(&f->warmup_hosts, f->n_hosts, now);
+	update_unseen_hosts(f, totals->controls, now);
 	g_hash_table_iter_init(&iter, f->endpoints);
 	while (!totals->partial &&
 	       g_hash_table_iter_next(&iter, NULL, (void **)&ep))
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -30,6 +30,7 @@
 #include "policy/pause.h"
 #include "policy/registry.h"
 #include "policy/residency.h"
+#include "policy/unseen_hosts.h"
 #include "policy/warmup.h"
 
 /*
@@ -195,6 +196,7 @@
 	unsigned int n_hosts;	    /* entry hosts, this one included */
 	int64_t paces_updated_us;   /* paces.c */
 	struct warmup_hosts warmup_hosts; /* the most that there may be */
+	struct unseen_hosts unseen_hosts; /* missing in the last totals */
 
 	/* regions.c */
 	struct residency_map regions;
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -135,6 +135,25 @@
 	return s;
 }
 
+void place_add_unseen_load(struct place_target *targets, size_t n, double ratio)
+{
+	double open = 0, needed = 0;
+	unsigned int usable = 0;
+
+	if (ratio <= 0)
+		return;
+	for (size_t i = 0; i < n; i++) {
+		usable += targets[i].usable;
+		open += targets[i].open_requests;
+		needed += (double)targets[i].needed_tokens;
+	}
+	for (size_t i = 0; usable && i < n; i++) {
+		targets[i].open_requests +=
+			(unsigned int)(open * ratio / usable);
+		targets[i].needed_tokens += (uint64_t)(needed * ratio / usable);
+	}
+}
+
 /* The cost without that of the distance. */
 static int64_t placement_cost(const struct place_target *t,
 			      const struct place_request *request)
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -58,6 +58,16 @@
 	double random;		    /* uniform between 0 and 1 */
 };
 
+/*
+ * Adds the load of hosts that are missing in the totals
+ * (policy/unseen_hosts.h): `ratio` times the open requests and the needed
+ * tokens that are known.  It is spread evenly over the usable targets, as
+ * nobody knows where those hosts send, and so changes their room but not their
+ * order.
+ */
+void place_add_unseen_load(struct place_target *targets, size_t n,
+			   double ratio);
+
 enum place_result {
 	PLACE_OK,
 	PLACE_NO_ROOM,	   /* endpoints are usable, but none has room */
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -8244,7 +8244,7 @@
   (ProtobufCMessageInit) mw__use_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__use_totals__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mw__use_totals__field_descriptors[5] =
 {
   {
     "rows",
@@ -8294,18 +8294,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "controls",
+    60,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mw__UseTotals, controls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__use_totals__field_indices_by_name[] = {
+  4,   /* field[4] = controls */
   1,   /* field[1] = hosts */
   3,   /* field[3] = partial */
   2,   /* field[2] = queues */
   0,   /* field[0] = rows */
 };
-static const ProtobufCIntRange mw__use_totals__number_ranges[2 + 1] =
+static const ProtobufCIntRange mw__use_totals__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 4 }
+  { 60, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mw__use_totals__descriptor =
 {
@@ -8315,10 +8329,10 @@
   "Mw__UseTotals",
   "mw",
   sizeof(Mw__UseTotals),
-  4,
+  5,
   mw__use_totals__field_descriptors,
   mw__use_totals__field_indices_by_name,
-  2,  mw__use_totals__number_ranges,
+  3,  mw__use_totals__number_ranges,
   (ProtobufCMessageInit) mw__use_totals__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -1287,10 +1287,14 @@
    * rows not listed are unchanged
    */
   protobuf_c_boolean partial;
+  /*
+   * control processes whose loads are included
+   */
+  uint32_t controls;
 };
 #define MW__USE_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mw__use_totals__descriptor) \
-    , 0,NULL, 0, 0,NULL, 0 }
+    , 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 struct  Mw__Demand
