forward, cli: Compare regions once, and only of routes that an account may use

In the settings tree an account may be limited to some routes; it was reported for the regions of others, too, which is a finding on sound settings.

--- a/src/cli/check_tree.c
+++ b/src/cli/check_tree.c
@@ -10,7 +10,8 @@
 	GPtrArray *out;
 	struct plan *plan; /* routes and accounts with their regions only */
 	struct residency_map regions;
-	GPtrArray *routes; /* struct route_cfg of the leaves */
+	/* struct route_cfg and account_cfg of the leaves, as in the plan */
+	GPtrArray *routes, *accounts;
 };
 
 static const struct plan_names tree_names = {
@@ -143,6 +144,7 @@
 	struct plan_account *p = plan_add_account(c->plan, name);
 	for (const char *const *n = a->allowed_regions; *n; n++)
 		plan_add_region(c->plan, &p->regions, *n);
+	g_ptr_array_add(c->accounts, (void *)a);
 	if (has_keys(c->tree, name) && !may_call(c, a))
 		finding_warn(c->out, "accounts", name, "key_hash",
 			     "no route may be called with its keys");
@@ -165,9 +167,20 @@
 		add_region(arg, name);
 }
 
+static bool may_use(void *arg, guint route, guint account)
+{
+	const struct tree_check *c = arg;
+	const struct route_cfg *r = c->routes->pdata[route];
+
+	return account_allows_route(c->accounts->pdata[account], r->name);
+}
+
 static void check_regions(struct tree_check *c)
 {
-	struct plan_check pc = {.plan = c->plan, .names = &tree_names};
+	struct plan_check pc = {.plan = c->plan,
+				.names = &tree_names,
+				.may_use = may_use,
+				.arg = c};
 
 	/* A data centre without a node has the settings of the top folder. */
 	add_region(c, "");
@@ -193,8 +206,12 @@
 void check_tree(struct tree *t, GPtrArray *out)
 {
 	g_autoptr(GPtrArray) routes = g_ptr_array_new();
-	struct tree_check c = {
-		.tree = t, .out = out, .plan = plan_new(), .routes = routes};
+	g_autoptr(GPtrArray) accounts = g_ptr_array_new();
+	struct tree_check c = {.tree = t,
+			       .out = out,
+			       .plan = plan_new(),
+			       .routes = routes,
+			       .accounts = accounts};
 
 	tree_for_each(t, SCHEMA_ROUTE, check_route, &c);
 	tree_for_each(t, SCHEMA_ACCOUNT, check_account, &c);
--- a/src/forward/plan_check.c
+++ b/src/forward/plan_check.c
@@ -26,32 +26,99 @@
 				     list->names[i]);
 }
 
-/* Whether a request with both lists may run somewhere; names are interned. */
-static bool have_common_region(const struct plan_regions *a,
-			       const struct plan_regions *b)
+/* Numbers for the names of regions, which are interned. */
+struct region_index {
+	GHashTable *numbers; /* name to number, from 1 */
+	guint **accounts;    /* numbers of each account's regions */
+	guint *route_of;     /* number to 1 + the last route that allows it */
+};
+
+static guint region_number(struct region_index *x, const char *name)
 {
-	if (!a->n || !b->n)
+	gpointer n = g_hash_table_lookup(x->numbers, name);
+
+	if (!n) {
+		n = GUINT_TO_POINTER(g_hash_table_size(x->numbers) + 1);
+		g_hash_table_insert(x->numbers, (void *)name, n);
+	}
+	return GPOINTER_TO_UINT(n);
+}
+
+static guint *region_numbers(struct region_index *x,
+			     const struct plan_regions *list)
+{
+	guint *numbers = g_new(guint, list->n);
+
+	for (size_t i = 0; i < list->n; i++)
+		numbers[i] = region_number(x, list->names[i]);
+	return numbers;
+}
+
+static void region_index_init(struct region_index *x, const struct plan *p)
+{
+	x->numbers = g_hash_table_new(NULL, NULL);
+	x->accounts = g_new0(guint *, p->accounts->len);
+	for (guint i = 0; i < p->accounts->len; i++) {
+		const struct plan_account *a = p->accounts->pdata[i];
+		x->accounts[i] = region_numbers(x, &a->regions);
+	}
+	for (guint i = 0; i < p->routes->len; i++) {
+		const struct plan_route *r = p->routes->pdata[i];
+		for (size_t k = 0; k < r->regions.n; k++)
+			region_number(x, r->regions.names[k]);
+	}
+	x->route_of = g_new0(guint, g_hash_table_size(x->numbers) + 1);
+}
+
+static void region_index_release(struct region_index *x, const struct plan *p)
+{
+	for (guint i = 0; i < p->accounts->len; i++)
+		g_free(x->accounts[i]);
+	g_free(x->accounts);
+	g_free(x->route_of);
+	g_hash_table_destroy(x->numbers);
+}
+
+/* Prepares have_common_region() for a route. */
+static void select_route(struct region_index *x, const struct plan *p,
+			 guint route)
+{
+	const struct plan_route *r = p->routes->pdata[route];
+
+	for (size_t k = 0; k < r->regions.n; k++)
+		x->route_of[region_number(x, r->regions.names[k])] = route + 1;
+}
+
+/* Whether a request with the regions of both may run somewhere. */
+static bool have_common_region(const struct region_index *x,
+			       const struct plan *p, guint route, guint account)
+{
+	const struct plan_route *r = p->routes->pdata[route];
+	const struct plan_account *a = p->accounts->pdata[account];
+
+	if (!r->regions.n || !a->regions.n)
 		return true;
-	for (size_t i = 0; i < a->n; i++)
-		for (size_t k = 0; k < b->n; k++)
-			if (a->names[i] == b->names[k])
-				return true;
+	for (size_t i = 0; i < a->regions.n; i++)
+		if (x->route_of[x->accounts[account][i]] == route + 1)
+			return true;
 	return false;
 }
 
 /* One finding for each route: there may be many accounts. */
 static void check_common_regions(const struct plan_check *c,
-				 const struct plan_route *r, GPtrArray *out)
+				 struct region_index *x, guint route,
+				 GPtrArray *out)
 {
+	const struct plan_route *r = c->plan->routes->pdata[route];
 	const struct plan_account *first = NULL;
 	guint n = 0;
 
+	select_route(x, c->plan, route);
 	for (guint i = 0; i < c->plan->accounts->len; i++) {
-		const struct plan_account *a = c->plan->accounts->pdata[i];
-
-		if (have_common_region(&r->regions, &a->regions))
+		if (have_common_region(x, c->plan, route, i) ||
+		    (c->may_use && !c->may_use(c->arg, route, i)))
 			continue;
-		first = first ? first : a;
+		first = first ? first : c->plan->accounts->pdata[i];
 		n++;
 	}
 	if (n)
@@ -65,15 +132,18 @@
 void plan_check_regions(const struct plan_check *c, GPtrArray *out)
 {
 	const struct plan *p = c->plan;
+	struct region_index x;
 
+	region_index_init(&x, p);
 	for (guint i = 0; i < p->routes->len; i++) {
 		const struct plan_route *r = p->routes->pdata[i];
 
 		check_region_names(c, c->names->routes, r->name, &r->regions,
 				   out);
 		if (r->regions.n)
-			check_common_regions(c, r, out);
+			check_common_regions(c, &x, i, out);
 	}
+	region_index_release(&x, p);
 	for (guint i = 0; i < p->accounts->len; i++) {
 		const struct plan_account *a = p->accounts->pdata[i];
 
@@ -145,15 +215,21 @@
 	}
 }
 
-static bool reaches_route(const struct plan *p, const struct plan_account *a)
+/* Returns for each account whether a route may run its requests. */
+static bool *find_served_accounts(const struct plan *p)
 {
-	for (guint i = 0; i < p->routes->len; i++) {
-		const struct plan_route *r = p->routes->pdata[i];
+	bool *served = g_new0(bool, p->accounts->len);
+	struct region_index x;
 
-		if (have_common_region(&r->regions, &a->regions))
-			return true;
+	region_index_init(&x, p);
+	for (guint i = 0; i < p->routes->len; i++) {
+		select_route(&x, p, i);
+		for (guint k = 0; k < p->accounts->len; k++)
+			served[k] =
+				served[k] || have_common_region(&x, p, i, k);
 	}
-	return false;
+	region_index_release(&x, p);
+	return served;
 }
 
 static bool has_private_route(const struct plan *p)
@@ -173,6 +249,7 @@
 	const struct plan *p = c->plan;
 	const struct plan_names *names = c->names;
 	bool private_route = has_private_route(p);
+	g_autofree bool *served = find_served_accounts(p);
 	GHashTableIter it;
 	void *account;
 
@@ -189,7 +266,7 @@
 		if (!g_hash_table_contains(with_key, a))
 			finding_warn(out, names->accounts, a->name, names->keys,
 				     "the account has no key");
-		else if (!reaches_route(p, a))
+		else if (!served[i])
 			finding_warn(out, names->accounts, a->name, names->keys,
 				     "no route may be called with its keys");
 		else if (!private_route)
--- a/src/forward/plan_check.h
+++ b/src/forward/plan_check.h
@@ -28,6 +28,10 @@
 	const struct residency_map *regions;
 	/* Target latency of a route that states none; it is not reported. */
 	int64_t default_latency_us;
+	/* Whether an account may use a route, by their indexes in the plan;
+	 * NULL: each may use all. */
+	bool (*may_use)(void *arg, guint route, guint account);
+	void *arg;
 };
 
 /* Appends all findings to out. */
