--- a/src/cli/cli_hint.c
+++ b/src/cli/cli_hint.c
@@ -66,8 +66,8 @@
 		    g_str_has_prefix(command, hints[i].command))
 			return hints[i].hint;
 	if (status == CLI_UNREACHABLE)
-		return "do --admin and the network fit, and do the processes "
-		       "run? name more addresses: --admin=IP:PORT,IP:PORT";
+		return "do the addresses and the network fit, and do the "
+		       "processes run? name more addresses: IP:PORT,IP:PORT";
 	if (status == CLI_USAGE && c->err.len &&
 	    !strstr(buf_head(&c->err), "--help") &&
 	    !strstr(buf_head(&c->err), "usage:"))
--- a/src/forward/plan_check.c
+++ b/src/forward/plan_check.c
@@ -304,7 +304,7 @@
 			     "has no effect: the route has no streams");
 	if (r->max_endpoints > INT_MAX)
 		finding_warn(out, names->routes, r->name, names->max_endpoints,
-			     "a number below 0 is no limit");
+			     "a number below 0 is not supported");
 	else if (!r->max_endpoints)
 		finding_warn(out, names->routes, r->name, names->max_endpoints,
 			     "0 has no effect: a request is sent once");
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -413,6 +413,9 @@
 		}
 		cli_set_kind(&c, "");
 		ck_assert_ptr_nonnull(cli_hint(&c, CLI_UNREACHABLE));
+		/* The check of documents has another flag. */
+		ck_assert_ptr_null(
+			strstr(cli_hint(&c, CLI_UNREACHABLE), "--admin="));
 		ck_assert_ptr_null(cli_hint(&c, CLI_OK));
 		ck_assert_ptr_null(cli_hint(&c, CLI_DEGRADED));
 	}
--- a/tests/test_plan_check.c
+++ b/tests/test_plan_check.c
@@ -146,7 +146,7 @@
 	EXPECT("routes/r:gap 901 ms is above", route->kind = PLAN_STREAM;
 	       route->target_gap_us = 901 * ms);
 	EXPECT("routes/r:attempts 0 ", route->max_endpoints = 0);
-	EXPECT("routes/r:attempts a number below 0",
+	EXPECT("routes/r:attempts a number below 0 is not supported",
 	       route->max_endpoints = (unsigned int)-1);
 	EXPECT("limits:max_header 2 bytes", plan->max_header = 2;
 	       plan->max_body = 1);
