forward: Give endpoints that fail fast fewer requests

An endpoint that answers 500 at once looked idle and attracted requests, as such answers counted as successes, and a second attempt could reach another such endpoint while healthy ones were left.

Answers with 5xx count as failures. The share of failures of an endpoint above that of the better half of its service adds to its cost, tenfold for second attempts. Endpoints without such a share cost what they did before. An endpoint that fails most attempts is avoided only if others do not fail alike, so a service whose requests fail everywhere keeps its endpoints.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -124,7 +124,7 @@
 {
 	return !endpoints_is_evacuated(f, ep) && ep->serving && !ep->is_gone &&
 	       now >= ep->avoid_until_us && now >= ep->paused_until_us &&
-	       !health_is_unhealthy(&ep->health, now);
+	       !ep->failures.avoided;
 }
 
 /*
@@ -177,6 +177,8 @@
 					  ep->prefill_elsewhere_tokens,
 			.pace = pace_factor(&ep->pace),
 			.late = is_late(r, ep),
+			.failure_cost_us = failures_cost_us(&ep->failures,
+							    r->attempts > 0),
 			.tie_breaker = g_rand_int(f->rand),
 			.group = group_of(&c, ep->dc),
 			.region = ep->region == RESIDENCY_UNKNOWN
--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -91,6 +91,7 @@
 	ep->avoid_until_us = 0;
 	ep->consecutive_failures = 0;
 	ep->health = (struct health){0};
+	ep->failures = (struct failures){0};
 	ep->pace = (struct pace){0};
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
--- a/src/forward/fwd.c
+++ b/src/forward/fwd.c
@@ -125,6 +125,7 @@
 	request_tick(f, now);
 	endpoints_tick(f, now);
 	paces_tick(f, now);
+	faults_tick(f, now);
 	crashes_tick(f, now);
 	if (f->drain.active)
 		drain_tick(f, now);
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -13,6 +13,7 @@
 #include "forward/budget.h"
 #include "forward/demand.h"
 #include "forward/drain.h"
+#include "forward/failures.h"
 #include "forward/health.h"
 #include "forward/plan.h"
 #include "forward/quota.h"
@@ -41,7 +42,8 @@
  *   drain.c         what a planned stop still takes, and when it ends
  *   control_link.c  link to control processes: plans, usage reports, totals
  *   plan_parse.c    parsing of a plan in steps between other work
- *   endpoints.c     endpoints, their load and failures
+ *   endpoints.c     endpoints and their load
+ *   faults.c        endpoints that fail
  *   request.c       life of a request: admission, attempts, answer
  *   startup.c       how long requests wait for a host that starts
  *   queue.c         requests that wait for an endpoint, and their placement
@@ -106,6 +108,7 @@
 	unsigned int consecutive_failures;
 	unsigned int runs_dropped; /* in a row, before an order to stop */
 	struct health health;
+	struct failures failures;
 	struct pace pace; /* speed of a model endpoint, as observed */
 	/* owner_check.c */
 	struct owner_pace owner_pace;
@@ -194,6 +197,7 @@
 	int64_t avoid_until_us;	    /* for avoid_host */
 	unsigned int n_hosts;	    /* entry hosts, this one included */
 	int64_t paces_updated_us;   /* paces.c */
+	int64_t faults_updated_us;  /* faults.c */
 	struct warmup_hosts warmup_hosts; /* the most that there may be */
 
 	/* regions.c */
@@ -317,6 +321,13 @@
 void endpoints_use_report_free(Mw__UseReport *r);
 /* Returns NULL if the id is unknown. */
 struct fwd_endpoint *endpoints_find(struct fwd *f, const char *id);
+/* ---- faults.c ---- */
+/* Compares the endpoints of all services by their failures, if it is due. */
+void faults_tick(struct fwd *f, int64_t now);
+/* Records an attempt that the endpoint answered with an error, and not only
+ * because it has no room. */
+void faults_record_error(struct fwd *f, struct fwd_endpoint *ep, int64_t now);
+
 /* Records an attempt that was not delivered or whose answer broke off. */
 void endpoints_record_failure(struct fwd *f, struct fwd_endpoint *ep,
 			      int64_t now);
--- a/src/forward/health.c
+++ b/src/forward/health.c
@@ -1,9 +1,5 @@
 #include "forward/health.h"
 
-/* One or two failures may be caused by a link, or by an endpoint that has just
- * ended. */
-#define FAILURES_MIN 3
-
 /* Begins a new window if the present one is over. */
 static void rotate_window(struct health *h, int64_t now)
 {
@@ -44,13 +40,3 @@
 	rotate_window(&current, now);
 	return current.succeeded + current.previous_succeeded;
 }
-
-bool health_is_unhealthy(const struct health *h, int64_t now)
-{
-	unsigned int failed =
-		health_recent_failures(h, now) + h->failed_elsewhere;
-	unsigned int succeeded =
-		health_recent_successes(h, now) + h->succeeded_elsewhere;
-
-	return failed >= FAILURES_MIN && failed > succeeded;
-}
--- a/src/forward/health.h
+++ b/src/forward/health.h
@@ -1,18 +1,16 @@
 #ifndef FORWARD_HEALTH_H
 #define FORWARD_HEALTH_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 /*
- * Whether an endpoint is avoided because most attempts there fail, by the
- * attempts of this host and of all other hosts.  Pure functions, no I/O.
+ * Counts of recent attempts at an endpoint, by this host and by all others.
+ * Pure functions, no I/O.
  *
  * An endpoint that resets its connections looks idle and so attracts requests,
  * and its own health check may still succeed.  If each host counted only its
  * own attempts, each of seventy hosts would lose several requests before it
- * avoids the endpoint.  An endpoint that loses only some of its answers is not
- * avoided, as the other endpoints would have to take over its work.
+ * avoids the endpoint.  What follows from the counts is decided in failures.h.
  */
 
 /* Attempts are counted for one to two times this long. */
@@ -35,7 +33,4 @@
 unsigned int health_recent_failures(const struct health *h, int64_t now);
 unsigned int health_recent_successes(const struct health *h, int64_t now);
 
-/* Whether at least three recent attempts, and most of them, failed. */
-bool health_is_unhealthy(const struct health *h, int64_t now);
-
 #endif
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -139,7 +139,7 @@
 static int64_t placement_cost(const struct place_target *t,
 			      const struct place_request *request)
 {
-	int64_t us = 0;
+	int64_t us = t->failure_cost_us;
 
 	if (!request->generation) {
 		/* Requests beyond the slots wait until a slot is free. */
--- a/src/forward/place.h
+++ b/src/forward/place.h
@@ -40,9 +40,10 @@
 	uint64_t prefill_tokens;   /* prompt tokens not processed yet */
 	unsigned int engine_queue; /* requests in the endpoint's own queue */
 	double pace; /* see policy/pace.h, above 1 is slow; 0: not known, 1 */
-	uint32_t tie_breaker; /* random; other for each host and request */
-	unsigned int group;   /* data centre, see spread.h */
-	unsigned int region;  /* of the data centre, 0: unknown */
+	int64_t failure_cost_us; /* see failures.h; 0: it does not fail */
+	uint32_t tie_breaker;	 /* random; other for each host and request */
+	unsigned int group;	 /* data centre, see spread.h */
+	unsigned int region;	 /* of the data centre, 0: unknown */
 };
 
 struct place_request {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -469,6 +469,27 @@
 	return true;
 }
 
+/* An endpoint that refuses requests, or asks for a pause, is only full. */
+static bool is_endpoint_error(const struct request *r)
+{
+	return r->status >= 500 && !r->answer.not_run &&
+	       !r->answer.wrong_request && !r->answer.notice.pause_us;
+}
+
+/* Records what the attempt says about the endpoint, whose answer is complete.
+ */
+static void record_answer(struct request *r, bool usable, int64_t now)
+{
+	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
+
+	if (!ep)
+		return;
+	if (is_endpoint_error(r) && ep->incarnation == r->incarnation)
+		faults_record_error(r->fwd, ep, now);
+	else if (usable && r->status < 500)
+		endpoints_record_success(r->fwd, ep, now);
+}
+
 static void attempt_failed(struct request *r, const struct fetch_result *res,
 			   int64_t now)
 {
@@ -523,9 +544,8 @@
 	bool usable = res->err == FETCH_OK && r->answer.has_seal &&
 		      !r->answer.wrong_request && !r->answer.not_run &&
 		      !r->answer.wrong_endpoint;
-	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
-	if (usable && ep)
-		endpoints_record_success(r->fwd, ep, now);
+	if (res->err == FETCH_OK)
+		record_answer(r, usable, now);
 	if (usable && r->status >= 500 && may_repeat(r, true, true, now)) {
 		r->may_have_run = true;
 		repeat_request(r, "endpoint error", now);
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -98,6 +98,10 @@
 	"Endpoints that turned cold, by what this host learned it from.")
 COUNTER(COLD_SENT, "mustardwall_cold_sent_total", "requests", NULL,
 	"Requests and copies of generations that were sent to cold endpoints.")
+COUNTER(ENDPOINTS_FAILING, "mustardwall_endpoints_failing_total", "endpoints",
+	"requests",
+	"Endpoints that began to fail more requests than others of their "
+	"service: a part or most of them.")
 GAUGE(ENDPOINTS_PACE, "mustardwall_endpoints_pace", "endpoints", "pace",
       "Model endpoints with a known speed: slow, alike or fast.")
 GAUGE(PACE_WORST, "mustardwall_endpoint_pace_worst_percent", "percent", NULL,
