forward: Go on to untried endpoints after failed connections

A request was refused with no_endpoint after four attempts within 0.7 ms, each 'Couldn't connect to server', while other endpoints were running: attempts that reached no endpoint ended it by their number alone.

Three such attempts are free, as before; further ones are charged to the budget of repeats, go to endpoints that were not tried as long as one is usable, and are spaced by 20 to 160 ms.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -144,6 +144,17 @@
 	return may_send(r, ep, now);
 }
 
+static bool is_excluded(const struct request *r, const struct fwd_endpoint *ep,
+			const char *except_id)
+{
+	if (!*except_id)
+		return false;
+	return !strcmp(ep->id, except_id) ||
+	       (r->unreached &&
+		g_ptr_array_find_with_equal_func(r->unreached, ep->id,
+						 g_str_equal, NULL));
+}
+
 static struct candidates gather_candidates(struct request *r,
 					   const char *except_id,
 					   const char *near_dc, int64_t now)
@@ -163,7 +174,7 @@
 		c.endpoints[c.n] = ep;
 		c.targets[c.n++] = (struct place_target){
 			.usable = may_send(r, ep, now),
-			.excluded = !strcmp(ep->id, except_id),
+			.excluded = is_excluded(r, ep, except_id),
 			.distance = leave_distance(f, near_dc, ep),
 			.slots = ep->slots,
 			.memory_tokens = r->service->memory_tokens,
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -46,6 +46,7 @@
  *   faults.c        endpoints that fail
  *   request.c       life of a request: admission, attempts, answer
  *   startup.c       how long requests wait for a host that starts
+ *   repeat.c        whether a request is sent again after a failed attempt
  *   queue.c         requests that wait for an endpoint, and their placement
  *   demand.c        queued work that competes for the endpoints of some regions
  *   choose.c        choice of an endpoint for a request or a KV copy
--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "forward/regions.h"
+#include "forward/repeat.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
 
@@ -282,7 +283,7 @@
 	}
 	ep = request_choose_endpoint(r, r->previous_endpoint_id, f->conf->dc,
 				     any_usable, now);
-	/* No other endpoint is usable: try the previous one again. */
+	/* No other endpoint is usable: try those where it was again. */
 	if (!ep && *r->previous_endpoint_id && !*any_usable)
 		ep = request_choose_endpoint(r, "", f->conf->dc, any_usable,
 					     now);
@@ -638,12 +639,17 @@
 	if (v == BLAME_REFUSE)
 		return;
 
-	if (r->deadline_us - now < REQUEST_LEFT_MIN_US) {
+	if (r->deadline_us - now < REPEAT_LEFT_MIN_US) {
 		request_refuse(r, -MW_EDEADLINE, "no time left", now);
 		return;
 	}
 	if (refuse_outside_regions(r, now))
 		return;
+	if (now < r->not_before_us && r->fwd->n_waiting < QUEUE_MAX) {
+		request_log(r, "queued", "endpoints not reached", now);
+		enqueue_waiting(r);
+		return;
+	}
 	if (v != BLAME_HOLD && place_judged(r, v, &finding, &any_usable, now))
 		return;
 	if (refuse_if_evacuated(r, now))
@@ -737,7 +743,7 @@
 	list_for_each_entry_safe (r, tmp, &f->waiting, wait_node) {
 		struct crashes_finding finding;
 
-		if (r->displaced)
+		if (r->displaced || now < r->not_before_us)
 			continue;
 		enum blame_verdict v = judge(r, &finding, now);
 
@@ -751,7 +757,7 @@
 /* Whether a request that waits for an endpoint is to be refused. */
 static bool has_waited_too_long(const struct request *r, int64_t now)
 {
-	if (now - r->admitted_us < wait_max_us(r))
+	if (now - r->admitted_us < wait_max_us(r) || now < r->not_before_us)
 		return false;
 	/* A host that has just started may not know the endpoints yet. */
 	return !r->no_usable_endpoint || r->held ||
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "forward/leave.h"
 #include "forward/regions.h"
+#include "forward/repeat.h"
 #include "forward/startup.h"
 #include "policy/path.h"
 #include "obs/counter.h"
@@ -16,9 +17,6 @@
  * round trip is 24 ms. */
 #define CONNECT_TIMEOUT_MS 400
 
-/* Attempts of one request that may reach no endpoint. */
-#define FAILED_DELIVERIES_MAX 3
-
 /* Open requests on one host; each has buffers of about 10 KiB. */
 #define REQUESTS_MAX 3000
 
@@ -230,6 +228,8 @@
 	buf_release(&r->partial_event);
 	buf_release(&r->unsent_events);
 	plan_unref(r->plan);
+	if (r->unreached)
+		g_ptr_array_unref(r->unreached);
 	f->n_requests--;
 	g_free(r);
 }
@@ -286,6 +286,7 @@
 	if (f->drain.active)
 		slog_int(&l, "since_sigterm_us", now - f->drain.start_us);
 	slog_int(&l, "attempts", r->attempts);
+	slog_int(&l, "unreached", r->failed_deliveries);
 	slog_str(&l, "endpoint",
 		 *r->endpoint_id ? r->endpoint_id : r->previous_endpoint_id);
 	slog_int(&l, "waiting", (int64_t)f->n_waiting);
@@ -420,32 +421,31 @@
 	request_free(r);
 }
 
-/* Whether another run may follow one that may have run. */
-static bool may_run_again(const struct request *r)
-{
-	return r->route->kind == PLAN_IDEMPOTENT || r->route->resumable;
-}
-
 /*
  * Whether the request may be sent to an endpoint again, after an attempt that
  * may have run or not, and was delivered or not.  Takes a repeat from the
- * service's budget unless the attempt was not delivered.
+ * service's budget if it is charged.
  */
 static bool may_repeat(struct request *r, bool may_have_run, bool delivered,
 		       int64_t now)
 {
-	if (r->deadline_us - now < REQUEST_LEFT_MIN_US)
-		return false;
-	if (!delivered)
-		return ++r->failed_deliveries <= FAILED_DELIVERIES_MAX;
-	if (may_have_run && !may_run_again(r))
-		return false;
-	if (may_have_run && r->attempts >= r->route->max_endpoints)
-		return false;
-	if (r->attempts >= r->route->max_endpoints + 1)
-		return false;
-	return budget_take_repeat(
-		&endpoints_service_state(r->fwd, r->service->name)->budget);
+	r->failed_deliveries += !delivered;
+	const struct repeat_facts facts = {
+		.delivered = delivered,
+		.may_have_run = may_have_run,
+		.may_run_again = r->route->kind == PLAN_IDEMPOTENT ||
+				 r->route->resumable,
+		.attempts = r->attempts,
+		.max_attempts = r->route->max_endpoints,
+		.failed_deliveries = r->failed_deliveries,
+		.left_us = r->deadline_us - now};
+	enum repeat_verdict v = repeat_decide(&facts);
+
+	if (v == REPEAT_CHARGED)
+		return budget_take_repeat(
+			&endpoints_service_state(r->fwd, r->service->name)
+				 ->budget);
+	return v == REPEAT_FREE;
 }
 
 static void repeat_request(struct request *r, const char *why, int64_t now)
@@ -490,6 +490,16 @@
 		endpoints_record_success(r->fwd, ep, now);
 }
 
+/* Leaves the request's endpoint, which its attempt did not reach, out of its
+ * further choices. */
+static void note_unreached(struct request *r)
+{
+	counter_add(C_UNREACHED, NULL, 1);
+	if (!r->unreached)
+		r->unreached = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(r->unreached, g_strdup(r->endpoint_id));
+}
+
 static void attempt_failed(struct request *r, const struct fetch_result *res,
 			   int64_t now)
 {
@@ -502,11 +512,17 @@
 		endpoints_record_failure(r->fwd, ep, now);
 	if (delivered && res->err == FETCH_BROKEN)
 		crashes_attempt_broken(r, now);
+	if (!delivered)
+		note_unreached(r);
 	if (ep && r->answer.wrong_endpoint && ep->incarnation == r->incarnation)
 		endpoints_mark_gone(r->fwd, ep);
 	r->may_have_run |= may_have_run;
 	r->trial = r->trial && !delivered;
 	if (may_repeat(r, may_have_run, delivered, now)) {
+		if (!delivered)
+			r->not_before_us =
+				now + repeat_backoff_us(r->failed_deliveries,
+							r->deadline_us - now);
 		repeat_request(
 			r, res->err == FETCH_OK ? "refused" : res->error_text,
 			now);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -18,9 +18,6 @@
  *   continued by another run, after the last whole event that was passed on.
  */
 
-/* A request is not sent to an endpoint with less time than this left. */
-#define REQUEST_LEFT_MIN_US (10 * USEC_PER_MSEC)
-
 enum request_state {
 	REQUEST_UNADMITTED, /* waits for the first plan */
 	REQUEST_WAITING,    /* for an endpoint with room */
@@ -113,6 +110,8 @@
 	int64_t sent_us;     /* last attempt, moves not counted */
 	unsigned int attempts;
 	unsigned int failed_deliveries; /* attempts that reached no endpoint */
+	GPtrArray *unreached;  /* ids of the endpoints of these; NULL: none */
+	int64_t not_before_us; /* it waits until then; see repeat.h */
 	bool may_have_run;
 	bool held;		 /* waits as it is suspected (policy/blame.h) */
 	bool trial;		 /* placed as a trial, not delivered yet */
@@ -178,8 +177,9 @@
 
 /*
  * Chooses an endpoint with room for the request; NULL if there is none.  The
- * endpoint with the id except_id is left out, and near ones are preferred, as
- * seen from the data centre near_dc.  *any_usable tells whether an endpoint is
+ * endpoint with the id except_id, and those that its attempts did not reach,
+ * are left out, or none if except_id is "".  Near ones are preferred, as seen
+ * from the data centre near_dc.  *any_usable tells whether an endpoint is
  * usable at all.  For a request that is being moved it chooses the target.
  */
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -81,6 +81,8 @@
 	"Forwarded requests that were refused, by error kind.")
 COUNTER(REPEATS, "mustardwall_repeats_total", "requests", NULL,
 	"Forwarded requests that were sent to another endpoint.")
+COUNTER(UNREACHED, "mustardwall_unreached_total", "attempts", NULL,
+	"Attempts of forwarded requests that reached no endpoint.")
 COUNTER(MOVES, "mustardwall_moves_total", "steps", "outcome",
 	"Steps of moving generations to other endpoints, by outcome.")
 COUNTER(RESIDENCY, "mustardwall_residency_blocked_total", "requests", "reason",
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -216,6 +216,23 @@
 }
 END_TEST
 
+/* Guards against a further attempt at an endpoint that an earlier one did not
+ * reach, while another one was not tried. */
+START_TEST(test_unreached)
+{
+	struct fixture *t = set_up(NULL, NULL);
+
+	t->r.unreached = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(t->r.unreached, g_strdup("i-n1"));
+	g_ptr_array_add(t->r.unreached, g_strdup("i-x1"));
+	ck_assert_uint_eq(chosen_dcs(t, "i-x1"), 0x6);
+	ck_assert_uint_eq(chosen_dcs(t, ""), 0xf);
+	g_ptr_array_unref(t->r.unreached);
+	t->r.unreached = NULL;
+	tear_down(t);
+}
+END_TEST
+
 /* Guards against a move, or its resumption, at a forbidden target.  The source
  * is in a region that is no longer allowed, so that near targets are wrong. */
 START_TEST(test_move_target)
@@ -361,10 +378,11 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {
-		test_sets,	  test_many_regions, test_choice,
-		test_move_target, test_capacity,     test_plan_change,
-		test_map_change,  test_region_down,  test_queue_report};
+	const TTest *const tests[] = {test_sets,	test_many_regions,
+				      test_choice,	test_unreached,
+				      test_move_target, test_capacity,
+				      test_plan_change, test_map_change,
+				      test_region_down, test_queue_report};
 
 	return check_main("residency", tests, sizeof(tests) / sizeof(*tests));
 }
