--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -31,6 +31,7 @@
 #include "policy/pause.h"
 #include "policy/registry.h"
 #include "policy/residency.h"
+#include "policy/unseen_hosts.h"
 #include "policy/warmup.h"
 
 /*
@@ -200,6 +201,7 @@
 	int64_t paces_updated_us;   /* paces.c */
 	int64_t faults_updated_us;  /* faults.c */
 	struct warmup_hosts warmup_hosts; /* the most that there may be */
+	struct unseen_hosts unseen_hosts; /* missing in the last totals */
 
 	/* regions.c */
 	struct residency_map regions;
