failures: Test full endpoints and idle ones beside a failing one

The rule which answers count as failures is a function of failures.h, so that it is tested: an endpoint that is merely full is not given up. test_others_idle fails if endpoints without attempts are left out of the common share: the endpoint that gets all requests then sets it.

--- a/src/forward/failures.c
+++ b/src/forward/failures.c
@@ -51,6 +51,11 @@
 /* A second failure is final. */
 #define REPEAT_FACTOR 10
 
+bool failures_is_error(int status, bool not_run, int64_t pause_us)
+{
+	return status >= 500 && !not_run && !pause_us;
+}
+
 static double smoothed_share(const struct failures_counts *c)
 {
 	return c->failed / (c->attempts + PRIOR_ATTEMPTS);
--- a/src/forward/failures.h
+++ b/src/forward/failures.h
@@ -35,6 +35,12 @@
 	unsigned int failed, succeeded;
 };
 
+/*
+ * Whether an answer of the endpoint counts as a failure.  One that refuses
+ * requests (not_run), or asks for a pause of pause_us, is only full.
+ */
+bool failures_is_error(int status, bool not_run, int64_t pause_us);
+
 /* Updates the states of all endpoints of a service, n is at least 1. */
 void failures_update(const struct failures_item *items, size_t n, int64_t now);
 
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -469,13 +469,6 @@
 	return true;
 }
 
-/* An endpoint that refuses requests, or asks for a pause, is only full. */
-static bool is_endpoint_error(const struct request *r)
-{
-	return r->status >= 500 && !r->answer.not_run &&
-	       !r->answer.wrong_request && !r->answer.notice.pause_us;
-}
-
 /* Records what the attempt says about the endpoint, whose answer is complete.
  */
 static void record_answer(struct request *r, bool usable, int64_t now)
@@ -484,7 +477,9 @@
 
 	if (!ep)
 		return;
-	if (is_endpoint_error(r) && ep->incarnation == r->incarnation)
+	if (!r->answer.wrong_request && ep->incarnation == r->incarnation &&
+	    failures_is_error(r->status, r->answer.not_run,
+			      r->answer.notice.pause_us))
 		faults_record_error(r->fwd, ep, now);
 	else if (usable && r->status < 500)
 		endpoints_record_success(r->fwd, ep, now);
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -282,7 +282,10 @@
 	memset(f, 0, sizeof(f));
 	update(f, 10, 0, 0, NOW);
 	ck_assert(f[0].avoided);
-	ck_assert(!f[1].avoided);
+	for (size_t i = 1; i < ENDPOINTS; i++) {
+		ck_assert(!f[i].avoided);
+		ck_assert_int_eq(failures_cost_us(&f[i], true), 0);
+	}
 	update(f, 0, 0, 0, NOW + SEC);
 	ck_assert(!f[0].avoided);
 	ck_assert_int_gt(failures_cost_us(&f[0], false), 40 * MS);
@@ -291,13 +294,40 @@
 }
 END_TEST
 
+/* Guards against an endpoint that gets all requests, as it fails them at once,
+ * and so sets the common share, and against one that is alone. */
+START_TEST(test_others_idle)
+{
+	struct failures f[ENDPOINTS] = {0};
+	struct failures_item items[ENDPOINTS];
+
+	for (size_t i = 0; i < ENDPOINTS; i++)
+		items[i] = (struct failures_item){&f[i], i ? 0 : 12, 0};
+	failures_update(items, 1, NOW);
+	ck_assert(!f[0].avoided);
+	ck_assert_int_eq(failures_cost_us(&f[0], true), 0);
+	failures_update(items, ENDPOINTS, NOW + SEC);
+	ck_assert(f[0].avoided);
+	ck_assert_int_gt(failures_cost_us(&f[0], false), 40 * MS);
+}
+END_TEST
+
+/* Guards against giving up an endpoint that is merely full. */
+START_TEST(test_full)
+{
+	ck_assert(failures_is_error(500, false, 0));
+	ck_assert(failures_is_error(503, false, 0));
+	ck_assert(!failures_is_error(503, true, 0));
+	ck_assert(!failures_is_error(503, false, SEC));
+	ck_assert(!failures_is_error(429, false, 0));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_fast_failing,
-		test_failing_requests,
-		test_rare_failures,
-		test_avoided,
+		test_fast_failing, test_failing_requests, test_rare_failures,
+		test_avoided,	   test_others_idle,	  test_full,
 	};
 
 	return check_main("failures", tests, sizeof(tests) / sizeof(*tests));
