entry: Keep restricted requests without a loan from holding up others

A host without an endpoint of its own serves a model through endpoints that other data centres lend. A request whose allowed regions have none stayed at the head of its queue for 3 s, without a charge to its account, and the pump stops at a head that it can't place. If no data centre in its regions could lend at all, it waited as long.

Such requests now leave the queue while no endpoint may serve them and are put back when one may; deadline, age limit and the time for a loan hold as before, and they still count in the backlog, in the demand for loans and in the status answers. Without a possible lender they are refused at once, not run. Requests without lists stay in the queue.

--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -1,3 +1,4 @@
+#include "entry/aside.h"
 #include "entry/admin.h"
 
 #include <string.h>
@@ -50,7 +51,7 @@
 		struct queue_stats st;
 		e->queue_ops->stats(p->queue, &st);
 		for (unsigned int i = 0; i < QUEUE_RANKS; i++)
-			n += st.items[i];
+			n += st.items[i] + aside_count(p, i, NULL);
 	}
 	return n;
 }
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -1,3 +1,4 @@
+#include "entry/aside.h"
 #include "entry/crash_marks.h"
 #include "entry/request.h"
 
@@ -73,6 +74,7 @@
 	g_strlcpy(p->name, model, sizeof(p->name));
 	p->entry = e;
 	p->queue = e->queue_ops->create(&cfg);
+	list_init(&p->aside);
 	g_hash_table_insert(e->pools, p->name, p);
 	return p;
 }
@@ -160,12 +162,15 @@
 	stream_open(r, false);
 }
 
-/*
- * Refuses a request that need not wait: its lists have changed so that this
- * data centre is not allowed, or all endpoints of its model are evacuated and
- * none can be borrowed.
- */
-static bool refuse_if_hopeless(struct request *r, int64_t now)
+/* Whether only a loan could serve the request, and none is possible. */
+static bool lacks_lender(const struct request *r)
+{
+	return request_is_restricted(r) && !aside_has_own_endpoint(r) &&
+	       (r->needs_loan || remote_must_borrow(r->entry)) &&
+	       !remote_has_lender_for(r);
+}
+
+bool dispatch_refuse_if_hopeless(struct request *r, int64_t now)
 {
 	struct entry *e = r->entry;
 
@@ -173,6 +178,10 @@
 		request_fail(r, -MW_EREGIONDOWN, ENTRY_OUTSIDE_TEXT, 0);
 		return true;
 	}
+	if (lacks_lender(r)) {
+		request_fail(r, -MW_EREGIONDOWN, ENTRY_NO_LENDER_TEXT, 0);
+		return true;
+	}
 	if (view_all_evacuated(e, r->model) && !remote_can_borrow(e, now)) {
 		request_fail(r, -MW_ENOENDPOINT,
 			     "all endpoints of the model are evacuated", 1);
@@ -181,14 +190,14 @@
 	return false;
 }
 
-/* Returns 0 if the request at the head was placed or failed. */
-static int place_head(struct entry *e, struct pool *p, struct queue_item *it,
-		      int64_t now)
+/* Fills in the query that chooses an endpoint for the request now. */
+static void fill_query(struct request *r, int64_t now, struct route_query *q)
 {
-	struct request *r = list_entry(it, struct request, item);
-	struct route_ep *rep;
-	struct route_query q = {
-		.model = p->name,
+	struct entry *e = r->entry;
+	const struct queue_item *it = &r->item;
+
+	*q = (struct route_query){
+		.model = r->pool->name,
 		.prefixes = r->prefixes,
 		.n_prefixes = r->n_prefixes,
 		.bytes = spill_forecast(route_spill_budget(e->route),
@@ -203,20 +212,45 @@
 		.exclude = exclude_endpoint,
 		.exclude_ctx = r,
 	};
+	request_forecast(r, now, &q->need.output_forecast);
+}
+
+bool dispatch_may_place(struct request *r, int64_t now)
+{
+	struct route_query q;
+	struct route_ep *rep;
+
+	fill_query(r, now, &q);
+	return route_choose(r->entry->route, &q, now, &rep) != -MW_ENOENDPOINT;
+}
+
+/* Returns 0 if the request at the head was placed or failed. */
+static int place_head(struct entry *e, struct request *r, int64_t now)
+{
+	struct route_ep *rep;
+	struct route_query q;
+
 	/* Another endpoint death may have been reported since it was queued. */
 	if (suspect_check(e->suspects, r->fingerprint) < 0) {
 		request_fail(r, -MW_EPOISON, NULL, 0);
 		return 0;
 	}
-	if (refuse_if_hopeless(r, now))
+	if (dispatch_refuse_if_hopeless(r, now))
 		return 0;
-	request_forecast(r, now, &q.need.output_forecast);
+	fill_query(r, now, &q);
 	int err = route_choose(e->route, &q, now, &rep);
 	if (err == 0)
 		place_on_endpoint(r, rep, &q, now);
 	return err;
 }
 
+void dispatch_refuse_expired(struct request *r)
+{
+	request_leave_backlog(r);
+	request_fail(r, -MW_EDEADLINE,
+		     "the request waited too long for an endpoint", 5);
+}
+
 static void expire_queue(struct entry *e, struct pool *p, int64_t now)
 {
 	struct queue_item *it;
@@ -224,9 +258,7 @@
 	while ((it = e->queue_ops->pop_expired(p->queue, now))) {
 		struct request *r = list_entry(it, struct request, item);
 		r->in_queue = false;
-		request_leave_backlog(r);
-		request_fail(r, -MW_EDEADLINE,
-			     "the request waited too long for an endpoint", 5);
+		dispatch_refuse_expired(r);
 	}
 }
 
@@ -239,15 +271,16 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&p)) {
 		struct queue_item *it;
 		expire_queue(e, p, now);
+		aside_return(p, now);
 		while ((it = e->queue_ops->peek(p->queue, now))) {
-			int err = place_head(e, p, it, now);
-			if (err == 0 ||
-			    remote_refuse_overdue(
-				    list_entry(it, struct request, item), err,
-				    now))
+			struct request *r =
+				list_entry(it, struct request, item);
+			int err = place_head(e, r, now);
+			if (err == 0 || remote_refuse_overdue(r, err, now))
 				continue;
 			session_report_soon(e, !it->rank && !it->bulk, now);
-			break;
+			if (!aside_take(r, err, now))
+				break;
 		}
 	}
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -39,6 +39,7 @@
  *   view.c         table of endpoints and their states
  *   view_owner.c   which of several endpoints holds their address
  *   request.c      generations: admission, queueing, release
+ *   aside.c        restricted requests that wait for a loan
  *   remote.c       endpoints borrowed from other data centres
  *   residence.c    regions in which a request may run
  *   dispatch.c     placing queued generations on endpoints, retries
@@ -55,6 +56,11 @@
 #define ENTRY_OUTSIDE_TEXT                                                     \
 	"the data centre of this host is in no region that is allowed"
 
+/* Detail of the refusal of a request that no data centre may lend for. */
+#define ENTRY_NO_LENDER_TEXT                                                   \
+	"no data centre that could lend an endpoint is in a region that is "   \
+	"allowed"
+
 struct entry;
 struct request;
 struct work_stats;
@@ -63,6 +69,8 @@
 struct pool {
 	char name[128];
 	struct queue *queue;
+	struct list aside;	/* requests that wait for a loan, aside.h */
+	int64_t aside_tried_us; /* when they were last looked at */
 	struct entry *entry;
 };
 
@@ -379,6 +387,10 @@
  * evacuated.
  */
 bool remote_can_borrow(struct entry *e, int64_t now);
+/* Whether the request may run in a data centre that could lend an endpoint. */
+bool remote_has_lender_for(const struct request *r);
+/* Whether the host's own data centre is evacuated. */
+bool remote_must_borrow(const struct entry *e);
 /* Charges n bytes sent (out) or received to the spill budget, if remote. */
 void remote_count_bytes(struct request *r, bool out, size_t n);
 /* Records the data centre in which a request was placed or resumed. */
--- a/src/entry/remote.c
+++ b/src/entry/remote.c
@@ -1,3 +1,4 @@
+#include "entry/aside.h"
 #include "entry/request.h"
 
 #include <stdlib.h>
@@ -106,15 +107,16 @@
 static Mw__Demand *pool_demand(struct entry *e, struct pool *p, int64_t now)
 {
 	struct spill_budget *budget = route_spill_budget(e->route);
-	struct queue_item *it = e->queue_ops->peek(p->queue, now);
+	const struct queue_item *it = e->queue_ops->peek(p->queue, now);
+	const struct request *r =
+		it ? list_entry(it, struct request, item) : aside_first(p);
 	struct queue_stats st;
-	uint64_t bytes, count, unit;
-	const struct request *r;
+	uint64_t bytes, count, unit, waiting;
 	Mw__Demand *d;
 
-	if (!it || !budget->cfg.bytes_per_s)
+	if (!r || !budget->cfg.bytes_per_s)
 		return NULL;
-	r = list_entry(it, struct request, item);
+	it = &r->item;
 	if (now - r->arrived_us < route_spill_after(e->route) &&
 	    route_has_local(e->route, p->name))
 		return NULL;
@@ -124,8 +126,9 @@
 	if (!count)
 		return NULL;
 	e->queue_ops->stats(p->queue, &st);
-	if (count > st.items[it->rank])
-		count = st.items[it->rank];
+	waiting = st.items[it->rank] + aside_count(p, it->rank, NULL);
+	if (count > waiting)
+		count = waiting;
 	unit = ((uint64_t)it->prompt_tokens + it->est_output_tokens) *
 		       UNIT_MARGIN_PERCENT / 100 / 16 +
 	       1;
@@ -321,29 +324,48 @@
 
 /* ---- requests ---- */
 
-/* Whether another data centre with a control process is not evacuated. */
-static bool has_lender(const struct entry *e)
+/*
+ * Whether another data centre with a control process is not evacuated and, for
+ * r unless it is NULL, in an allowed region.
+ */
+static bool has_lender(const struct entry *e, const struct request *r)
 {
 	struct tree *t = e->session.cfg.tree;
 	const struct conf *conf = e->conf;
 
-	for (size_t i = 0; i < conf->control_nr; i++)
-		if (strcmp(conf->controls[i].dc, conf->dc) != 0 &&
-		    !(t &&
-		      tree_dc_settings(t, conf->controls[i].dc)->evacuated))
+	for (size_t i = 0; i < conf->control_nr; i++) {
+		const char *dc = conf->controls[i].dc;
+		if (strcmp(dc, conf->dc) != 0 &&
+		    !(t && tree_dc_settings(t, dc)->evacuated) &&
+		    (!r || request_may_run_in(r, dc)))
 			return true;
+	}
 	return !conf->control_nr; /* not known with --seeds */
 }
 
+bool remote_has_lender_for(const struct request *r)
+{
+	return has_lender(r->entry, r);
+}
+
+bool remote_must_borrow(const struct entry *e)
+{
+	struct tree *t = e->session.cfg.tree;
+
+	return t && tree_dc_settings(t, e->conf->dc)->evacuated;
+}
+
 bool remote_can_borrow(struct entry *e, int64_t now)
 {
-	return has_lender(e) && route_spill_budget(e->route)->cfg.bytes_per_s &&
+	return has_lender(e, NULL) &&
+	       route_spill_budget(e->route)->cfg.bytes_per_s &&
 	       hub_client_in_contact(e->session.hub_client, now);
 }
 
 bool remote_refuse_overdue(struct request *r, int err, int64_t now)
 {
-	bool evacuated = view_all_evacuated(r->entry, r->model);
+	bool evacuated = view_all_evacuated(r->entry, r->model) ||
+			 (aside_holds(r) && remote_must_borrow(r->entry));
 
 	if (err != -MW_ENOENDPOINT || now - r->arrived_us < LOAN_WAIT_US ||
 	    !(evacuated ||
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -1,3 +1,4 @@
+#include "entry/aside.h"
 #include "entry/request.h"
 #include "entry/work_stats.h"
 
@@ -116,6 +117,7 @@
 	else if (r->in_queue)
 		e->queue_ops->finish(r->pool->queue, &r->item,
 				     (uint32_t)r->next_index, clock_mono_us());
+	aside_drop(r);
 	ev_timer_stop(e->loop, &r->timer);
 	list_del(&r->node);
 	e->open_requests--;
@@ -332,6 +334,13 @@
 	return residence_allows(&s, r->entry->session.cfg.tree, dc);
 }
 
+bool request_is_restricted(const struct request *r)
+{
+	struct residence_subject s = {&r->residence, r->account, r->route};
+
+	return residence_is_restricted(&s, r->entry->session.cfg.tree);
+}
+
 /* Index of a rank, 0 being the most urgent; the last one for other names. */
 static unsigned int rank_index(struct tree *t, const char *name)
 {
@@ -452,6 +461,10 @@
 	r->needs_loan = !view_has_endpoint_for(e, r->model);
 	if (r->needs_loan && !remote_can_borrow(e, now))
 		return -MW_ENOENDPOINT;
+	if (r->needs_loan && !remote_has_lender_for(r)) {
+		*detail = ENTRY_NO_LENDER_TEXT;
+		return -MW_EREGIONDOWN;
+	}
 	return limit_admit_request(e->limits, r->account, &r->rates, now,
 				   retry_after_s);
 }
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -63,10 +63,13 @@
 	/* Queueing. */
 	struct pool *pool;
 	struct queue_item item;
-	bool in_backlog; /* counted in struct account_backlog */
-	bool in_queue;	 /* the queue holds the item */
-	bool dispatched; /* the item is dispatched, not waiting */
-	ev_timer timer;	 /* backoff, resume window */
+	struct list aside_node; /* pool.aside, if aside; see aside.h */
+	bool aside;
+	int64_t aside_until_us; /* end of its wait there; 0: never aside */
+	bool in_backlog;	/* counted in struct account_backlog */
+	bool in_queue;		/* the queue holds the item */
+	bool dispatched;	/* the item is dispatched, not waiting */
+	ev_timer timer;		/* backoff, resume window */
 
 	/* Placement. */
 	char endpoint[EP_ID_CHARS + 1];
@@ -136,8 +139,25 @@
 /* Whether the request may run in the data centre; "": one that is not known. */
 bool request_may_run_in(const struct request *r, const char *dc);
 
+/* Whether any list of regions applies to the request. */
+bool request_is_restricted(const struct request *r);
+
 /* ---- dispatch.c ---- */
 
+/*
+ * Refuses a request that need not wait and returns true: its lists have changed
+ * so that this data centre is not allowed, or it needs a loan and no data
+ * centre that may lend is in its regions, or all endpoints of its model are
+ * evacuated and none can be borrowed.
+ */
+bool dispatch_refuse_if_hopeless(struct request *r, int64_t now);
+
+/* Refuses a request that has waited too long and is in no queue. */
+void dispatch_refuse_expired(struct request *r);
+
+/* Whether an endpoint may serve the request, be it that it has no room now. */
+bool dispatch_may_place(struct request *r, int64_t now);
+
 /* Places queued requests until each queue's head finds no endpoint. */
 void dispatch_pump(struct entry *e, int64_t now);
 
--- a/src/entry/work_stats.c
+++ b/src/entry/work_stats.c
@@ -1,3 +1,4 @@
+#include "entry/aside.h"
 #include "entry/work_stats.h"
 
 #include <string.h>
@@ -78,6 +79,7 @@
 		for (unsigned int i = 0; i < QUEUE_RANKS; i++) {
 			ranks[i].waiting += st.items[i];
 			ranks[i].bytes += st.bytes[i];
+			ranks[i].waiting += aside_count(p, i, &ranks[i].bytes);
 			ranks[i].longest = MAX(ranks[i].longest, st.items[i]);
 		}
 	}
@@ -85,7 +87,7 @@
 
 static bool is_waiting(const struct request *r)
 {
-	return r->in_queue && !r->dispatched;
+	return (r->in_queue && !r->dispatched) || aside_holds(r);
 }
 
 static void find_oldest(struct entry *e, struct rank_sum *ranks, int64_t now)
--- /dev/null
+++ b/tests/test_region_queue.c
@@ -0,0 +1,270 @@
+#include "check_main.h"
+#include "state_util.h"
+
+#include "base/clock.h"
+#include "entry/request.h"
+#include "entry/work_stats.h"
+
+/*
+ * Requests with allowed regions in the queue of a host without an endpoint of
+ * its own.  The host is in dc1 (north); dc2 (south) and dc3 (north) may lend.
+ */
+
+static struct entry e;
+static struct conf conf;
+
+static void set(const char *path, const char *key, const char *value)
+{
+	struct tree_err err = {0};
+
+	int rc = edit_tree(&e.session.cfg.tree, path, key, value, &err);
+
+	ck_assert_msg(!rc, "%s %s: %s", path, key, err.reason);
+}
+
+static void set_up_tree(void)
+{
+	e.session.cfg.tree = tree_new_initial();
+	set("dcs/dc1", "region", "\"north\"");
+	set("dcs/dc2", "region", "\"south\"");
+	set("dcs/dc3", "region", "\"north\"");
+	set("accounts/free", "weight", "100");
+	set("accounts/bound", "allowed_regions", "[\"north\"]");
+	set("models/m", "context_tokens", "1000");
+	set("routes/r", "model", "\"m\"");
+}
+
+static void set_up(void)
+{
+	const struct route_tuning tuning = {.dc = "dc1"};
+	const struct spill_cfg spill = {.bytes_per_s = 1 << 20,
+					.burst_bytes = 1 << 20,
+					.rank_percent = {100, 100, 100, 100}};
+
+	memset(&e, 0, sizeof(e));
+	memset(&conf, 0, sizeof(conf));
+	conf.dc = (char *)"dc1";
+	strcpy(conf.controls[0].dc, "dc2");
+	strcpy(conf.controls[1].dc, "dc3");
+	conf.control_nr = 2;
+	e.conf = &conf;
+	e.loop = ev_loop_new(EVFLAG_AUTO);
+	e.fetcher = fetcher_new(e.loop, 0);
+	e.ep_ops = &ep_openai;
+	e.events = event_ring_new(64, "h", "d");
+	e.rand = g_rand_new_with_seed(1);
+	e.queue_ops = &queue_fair;
+	e.suspects = suspect_new(16);
+	e.account_backlogs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	e.pools = g_hash_table_new(g_str_hash, g_str_equal);
+	e.est = est_new(NULL);
+	e.credit = credit_new(&credit_leased, NULL);
+	e.route = route_new(&route_prefix_load, &tuning);
+	spill_configure(route_spill_budget(e.route), &spill, clock_mono_us());
+	e.work = work_new();
+	list_init(&e.requests);
+	view_init(&e);
+	remote_init(&e);
+	/* Active: the pump is called by the tests. */
+	ev_timer_init(&e.pump_timer, NULL, 3600., 0.);
+	ev_timer_start(e.loop, &e.pump_timer);
+	set_up_tree();
+}
+
+static void tear_down(void)
+{
+	struct request *r, *tmp;
+	struct pool *p = entry_get_pool(&e, "m");
+
+	list_for_each_entry_safe (r, tmp, &e.requests, node)
+		request_end(r);
+	fetcher_free(e.fetcher);
+	p->queue->ops->destroy(p->queue);
+	g_free(p);
+	g_hash_table_destroy(e.pools);
+	g_hash_table_destroy(e.account_backlogs);
+	view_release(&e);
+	remote_release(&e);
+	route_free(e.route);
+	credit_free(e.credit);
+	work_free(e.work);
+	est_free(e.est);
+	suspect_free(e.suspects);
+	g_rand_free(e.rand);
+	event_ring_free(e.events);
+	tree_unref(e.session.cfg.tree);
+	ev_loop_destroy(e.loop);
+}
+
+/* Adds a row to the table and to the policy, and confirms it. */
+static void lend(const char *id, const char *dc, const char *addr)
+{
+	static char *models[] = {"m"};
+	Mw__EndpointInfo info = MW__ENDPOINT_INFO__INIT;
+	int64_t now = clock_mono_us();
+
+	info.id = (char *)id;
+	info.dc = (char *)dc;
+	info.addr = (char *)addr;
+	info.kind = "model";
+	info.state = "serving";
+	info.incarnation = info.seq = 1;
+	info.blocks = 1000;
+	info.block_tokens = 16;
+	info.models = models;
+	info.n_models = 1;
+	view_update(&e, &info, true, now);
+	credit_set_grant(credit_find_endpoint(e.credit, id), 1000,
+			 now + 60 * USEC_PER_SEC);
+}
+
+static struct request *push_due(const char *account, int64_t arrived,
+				int64_t deadline)
+{
+	struct request *r = g_new0(struct request, 1);
+
+	r->entry = &e;
+	list_init(&r->rs.node);
+	list_init(&r->credit.node);
+	list_add_tail(&e.requests, &r->node);
+	e.open_requests++;
+	strcpy(r->id, account);
+	strcpy(r->account, account);
+	strcpy(r->route, "r");
+	strcpy(r->model, "m");
+	strcpy(r->fingerprint, account);
+	r->prompt = g_strdup("text");
+	r->prompt_tokens = 2;
+	r->max_tokens = 10;
+	r->queue_max = 100;
+	r->queue_max_bytes = 1 << 20;
+	r->needs_loan = true;
+	r->arrived_us = arrived;
+	r->deadline_us = deadline;
+	residence_admit(&r->residence, e.session.cfg.tree, account, "r");
+	request_enqueue(r, clock_mono_us());
+	return r;
+}
+
+static struct request *push(const char *account, int64_t arrived)
+{
+	return push_due(account, arrived, 0);
+}
+
+static bool exists(const struct request *r)
+{
+	const struct request *i;
+
+	list_for_each_entry (i, &e.requests, node)
+		if (i == r)
+			return true;
+	return false;
+}
+
+/*
+ * Guards against requests that wait for a loan in their regions and hold up
+ * others that a borrowed endpoint could serve.
+ */
+START_TEST(test_passes_others)
+{
+	int64_t now = clock_mono_us();
+
+	set_up();
+	lend("south1", "dc2", "http://127.0.0.1:9");
+	struct request *bound[5];
+	for (size_t i = 0; i < G_N_ELEMENTS(bound); i++)
+		bound[i] = push("bound", now);
+	struct request *other = push("free", now);
+	dispatch_pump(&e, now);
+	ck_assert_int_eq(other->state, REQ_SENT);
+	ck_assert_str_eq(other->endpoint, "south1");
+	for (size_t i = 0; i < G_N_ELEMENTS(bound); i++) {
+		ck_assert_int_eq(bound[i]->state, REQ_QUEUED);
+		ck_assert(bound[i]->in_backlog);
+	}
+	/* They are placed when a loan in their regions arrives. */
+	lend("north1", "dc3", "http://127.0.0.1:10");
+	dispatch_pump(&e, clock_mono_us() + USEC_PER_SEC / 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(bound); i++)
+		ck_assert_str_eq(bound[i]->endpoint, "north1");
+	tear_down();
+}
+END_TEST
+
+/* Guards against a wait beyond the time for a loan, and beyond a deadline. */
+START_TEST(test_wait_ends)
+{
+	int64_t now = clock_mono_us();
+
+	set_up();
+	lend("south1", "dc2", "http://127.0.0.1:9");
+	struct request *first = push("bound", now);
+	struct request *due = push_due("bound", now, now + USEC_PER_SEC);
+	dispatch_pump(&e, now);
+	ck_assert(exists(first) && exists(due));
+	dispatch_pump(&e, now + 3 * USEC_PER_SEC / 2);
+	ck_assert(exists(first) && !exists(due));
+	dispatch_pump(&e, now + 4 * USEC_PER_SEC);
+	ck_assert(!exists(first));
+	ck_assert_uint_eq(g_hash_table_size(e.account_backlogs), 0);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a change for requests without lists. */
+START_TEST(test_without_lists)
+{
+	int64_t now = clock_mono_us();
+
+	set_up();
+	struct request *first = push("free", now);
+	set("dcs/dc2", "evacuated", "true");
+	set("dcs/dc3", "evacuated", "true");
+	dispatch_pump(&e, now);
+	ck_assert(first->in_queue && !first->aside);
+	ck_assert_ptr_eq(queue_fair.peek(first->pool->queue, now),
+			 &first->item);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a wait for a loan that no data centre may give. */
+START_TEST(test_refused_at_once)
+{
+	int64_t now = clock_mono_us();
+
+	set_up();
+	set("dcs/dc3", "region", "\"south\"");
+	struct request *bound = push("bound", now);
+	struct request *other = push("free", now);
+	dispatch_pump(&e, now);
+	ck_assert(!exists(bound) && exists(other));
+	tear_down();
+}
+END_TEST
+
+/* Guards against demand for loans that ends while the request waits. */
+START_TEST(test_reports_demand)
+{
+	Mw__HubReport report = MW__HUB_REPORT__INIT;
+	int64_t now = clock_mono_us();
+
+	set_up();
+	set("dcs/dc1", "spill_bytes_per_s", "1000000");
+	set("dcs/dc1", "spill_burst_bytes", "1000000");
+	push("bound", now);
+	push("bound", now);
+	dispatch_pump(&e, now);
+	remote_fill_report(&e, &report, now + 10 * USEC_PER_SEC);
+	ck_assert_uint_eq(report.n_spill, 1);
+	ck_assert_uint_eq(report.spill[0]->blocks, 2 * report.spill[0]->unit);
+	for (size_t i = 0; i < report.n_spill; i++)
+		mw__demand__free_unpacked(report.spill[i], NULL);
+	free(report.spill);
+	tear_down();
+}
+END_TEST
+
+RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
+	  test_without_lists, test_refused_at_once, test_reports_demand)
