entry: Send restricted requests only to the address that was checked

The table of endpoints drops a row that is older than the one it has, while the policy takes the address of the last row of an incarnation. The region of one row could so be checked and the request be sent to the address of another. A resume went to the address in its cursor.

A restricted request is now sent only if the address is the one in the row whose region was checked, for generations, calls to plain services and resumes. On a mismatch the endpoint is not chosen, until its next announcement has reached both, and a resume is refused. Requests without lists go to the same address as before.

Measured: test_address_of_checked_row failed before the change (sent to the older address); with the comparison left out it fails, as do test_address_of_cursor and test_address_of_call.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -117,9 +117,11 @@
 static bool exclude_endpoint(void *ctx, const char *endpoint)
 {
 	const struct request *r = ctx;
-	struct endpoint *ep = view_find(r->entry, endpoint);
+	const struct endpoint *ep = view_find(r->entry, endpoint);
+	const struct route_ep *rep =
+		route_find_endpoint(r->entry->route, endpoint);
 
-	if (!request_may_run_in(r, ep ? ep->dc : ""))
+	if (!request_may_send(r, ep, route_ep_addr(rep)))
 		return true;
 	if (ep && (!view_may_use(ep) || !endpoint_allows(r->entry, ep)))
 		return true;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -341,6 +341,16 @@
 	return residence_is_restricted(&s, r->entry->session.cfg.tree);
 }
 
+bool request_may_send(const struct request *r, const struct endpoint *ep,
+		      const char *addr)
+{
+	struct residence_subject s = {&r->residence, r->account, r->route};
+
+	return residence_allows_send(&s, r->entry->session.cfg.tree,
+				     ep ? ep->dc : "", ep ? ep->addr : "",
+				     addr);
+}
+
 /* Index of a rank, 0 being the most urgent; the last one for other names. */
 static unsigned int rank_index(struct tree *t, const char *name)
 {
@@ -578,7 +588,8 @@
 	/* Every local endpoint has a row, so one without is remote. */
 	const struct endpoint *ep = view_find(e, r->endpoint);
 	const char *dc = ep ? ep->dc : "";
-	if (!request_may_run_in(r, e->conf->dc) || !request_may_run_in(r, dc)) {
+	if (!request_may_run_in(r, e->conf->dc) ||
+	    !request_may_send(r, ep, r->addr)) {
 		request_fail(r, -MW_EREGIONDOWN,
 			     "the stream may not be resumed here", 0);
 		return;
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -142,6 +142,14 @@
 /* Whether any list of regions applies to the request. */
 bool request_is_restricted(const struct request *r);
 
+/*
+ * Whether the request may be sent to addr, the address known for the endpoint
+ * with the row ep; NULL: the endpoint has none.  A restricted request goes only
+ * to the address in the row, as the row tells the region.
+ */
+bool request_may_send(const struct request *r, const struct endpoint *ep,
+		      const char *addr);
+
 /* ---- dispatch.c ---- */
 
 /*
--- a/src/entry/residence.c
+++ b/src/entry/residence.c
@@ -70,3 +70,11 @@
 			return false;
 	return true;
 }
+
+bool residence_allows_send(const struct residence_subject *s, struct tree *t,
+			   const char *dc, const char *row_addr,
+			   const char *addr)
+{
+	return residence_allows(s, t, dc) &&
+	       (!residence_is_restricted(s, t) || !strcmp(row_addr, addr));
+}
--- a/src/entry/residence.h
+++ b/src/entry/residence.h
@@ -39,4 +39,13 @@
 bool residence_allows(const struct residence_subject *s, struct tree *t,
 		      const char *dc);
 
+/*
+ * Whether a request may be sent to addr, given the row that places an endpoint
+ * in dc at row_addr.  Rows arrive in any order, and cursors keep an address, so
+ * the two may differ: then a restricted request is not allowed.
+ */
+bool residence_allows_send(const struct residence_subject *s, struct tree *t,
+			   const char *dc, const char *row_addr,
+			   const char *addr);
+
 #endif
--- a/src/entry/service.c
+++ b/src/entry/service.c
@@ -205,9 +205,11 @@
 	const struct call *c = ctx;
 	struct entry *e = c->entry;
 	const struct endpoint *ep = view_find(e, endpoint);
+	const struct route_ep *rep = route_find_endpoint(e->route, endpoint);
 	struct residence_subject s = call_residence(c);
 
-	if (!residence_allows(&s, e->session.cfg.tree, ep ? ep->dc : ""))
+	if (!residence_allows_send(&s, e->session.cfg.tree, ep ? ep->dc : "",
+				   ep ? ep->addr : "", route_ep_addr(rep)))
 		return true;
 	return ep && (!view_may_use(ep) ||
 		      tree_dc_settings(e->session.cfg.tree, ep->dc)->evacuated);
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -2,6 +2,7 @@
 #include "state_util.h"
 
 #include "base/clock.h"
+#include "entry/call.h"
 #include "entry/request.h"
 #include "entry/work_stats.h"
 
@@ -266,5 +267,92 @@
 }
 END_TEST
 
+/*
+ * Guards against a check of one row and a send to the address of another: the
+ * table keeps the newest row, the policy the one that arrived last.
+ */
+START_TEST(test_address_of_checked_row)
+{
+	static const char *const models[] = {"m"};
+	const struct route_ep_info older = {.id = "north1",
+					    .incarnation = 1,
+					    .addr = "http://127.0.0.1:9",
+					    .dc = "dc2",
+					    .models = models,
+					    .n_models = 1,
+					    .state = ROUTE_SERVING,
+					    .blocks = 1000,
+					    .block_tokens = 16};
+	int64_t now = clock_mono_us();
+
+	set_up();
+	lend("north1", "dc3", "http://127.0.0.1:10");
+	route_upsert_endpoint(e.route, &older, now);
+	struct request *bound = push("bound", now);
+	struct request *other = push("free", now);
+	dispatch_pump(&e, now);
+	ck_assert_int_eq(bound->state, REQ_QUEUED);
+	ck_assert_str_eq(bound->addr, "");
+	/* Without lists the last row still counts. */
+	ck_assert_str_eq(other->addr, "http://127.0.0.1:9");
+	lend("north1", "dc3", "http://127.0.0.1:10");
+	dispatch_pump(&e, clock_mono_us() + USEC_PER_SEC / 2);
+	ck_assert_str_eq(bound->addr, "http://127.0.0.1:10");
+	tear_down();
+}
+END_TEST
+
+/*
+ * Guards against a resume at the address in a cursor that is not the address of
+ * the row whose region was checked.
+ */
+START_TEST(test_address_of_cursor)
+{
+	struct request r = {.entry = &e, .account = "bound", .route = "r"};
+
+	set_up();
+	lend("north1", "dc3", "http://127.0.0.1:10");
+	const struct endpoint *ep = view_find(&e, "north1");
+	ck_assert(request_may_send(&r, ep, "http://127.0.0.1:10"));
+	ck_assert(!request_may_send(&r, ep, "http://127.0.0.1:9"));
+	ck_assert(!request_may_send(&r, NULL, "http://127.0.0.1:10"));
+	strcpy(r.account, "free");
+	ck_assert(request_may_send(&r, ep, "http://127.0.0.1:9"));
+	ck_assert(request_may_send(&r, NULL, "http://127.0.0.1:9"));
+	tear_down();
+}
+END_TEST
+
+/* Guards against the same for calls to plain services. */
+START_TEST(test_address_of_call)
+{
+	struct route_ep_info older = {.id = "s1",
+				      .incarnation = 1,
+				      .addr = "http://127.0.0.1:9",
+				      .dc = "dc1",
+				      .models = (const char *const[]){"m"},
+				      .n_models = 1,
+				      .state = ROUTE_SERVING};
+	struct call *c = g_new0(struct call, 1);
+
+	set_up();
+	lend("s1", "dc1", "http://127.0.0.1:10");
+	route_upsert_endpoint(e.route, &older, 0);
+	c->entry = &e;
+	list_init(&c->rs.node);
+	list_init(&e.calls);
+	list_add_tail(&e.calls, &c->node);
+	e.open_requests++;
+	strcpy(c->account, "bound");
+	strcpy(c->service, "m");
+	call_send(c);
+	/* It failed, as there is no other endpoint and no retry. */
+	ck_assert(list_empty(&e.calls));
+	tear_down();
+}
+END_TEST
+
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_without_lists, test_refused_at_once, test_reports_demand)
+	  test_without_lists, test_refused_at_once, test_reports_demand,
+	  test_address_of_checked_row, test_address_of_cursor,
+	  test_address_of_call)
--- a/tests/test_residence.c
+++ b/tests/test_residence.c
@@ -103,6 +103,24 @@
 }
 END_TEST
 
+/* Guards against a region that was checked for one address and a send to
+ * another one. */
+START_TEST(test_address)
+{
+	struct residence_subject s = {NULL, "a", "r"};
+
+	set_up();
+	ck_assert(residence_allows_send(&s, tree, "", "", "x"));
+	ck_assert(residence_allows_send(&s, tree, "dc1", "y", "x"));
+	set("accounts/a", "allowed_regions", "[\"north\"]");
+	ck_assert(residence_allows_send(&s, tree, "dc1", "x", "x"));
+	ck_assert(!residence_allows_send(&s, tree, "dc1", "y", "x"));
+	ck_assert(!residence_allows_send(&s, tree, "dc2", "x", "x"));
+	ck_assert(!residence_allows_send(&s, tree, "", "", ""));
+	tree_unref(tree);
+}
+END_TEST
+
 /* Guards against values that no region can have. */
 START_TEST(test_values)
 {
@@ -125,4 +143,4 @@
 END_TEST
 
 RUN_TESTS("residence", test_no_list, test_intersection, test_unknown_region,
-	  test_lists_of_admission, test_values)
+	  test_lists_of_admission, test_address, test_values)
