--- a/src/entry/aside.c
+++ b/src/entry/aside.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "obs/stats.h"
 
 /* The pump runs for each event; loans arrive at most 4 times a second. */
 #define TRY_INTERVAL_US (20 * USEC_PER_MSEC)
@@ -30,8 +31,9 @@
 	r->in_queue = false;
 	r->aside = true;
 	list_add_tail(&r->pool->aside, &r->aside_node);
-	entry_event(r->entry, EV_KIND_REQUEST, r->id, r->account, NULL,
+	entry_event(r->entry, EV_KIND_QUEUED, r->id, r->account, NULL,
 		    "waits for a loan in its regions, others pass it");
+	stats_waits_for_loan(r->rank);
 	return true;
 }
 
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -66,6 +66,9 @@
 	"Bytes of bodies exchanged with endpoints of other data centres.")
 COUNTER(SPILL_REQUESTS, "mustardwall_spill_requests_total", "requests", "rank",
 	"Generations that were sent to another data centre.")
+COUNTER(LOAN_WAITS, "mustardwall_region_loan_waits_total", "requests", "rank",
+	"Generations with allowed regions that waited for a loan outside their "
+	"queue.")
 COUNTER(DC_REQUESTS, "mustardwall_dc_requests_total", "requests", "distance",
 	"Forwarded requests by the distance of their endpoint: same_dc, "
 	"same_region or other_region.")
--- a/src/obs/stats.c
+++ b/src/obs/stats.c
@@ -73,6 +73,11 @@
 	counter_add(C_SPILL_REQUESTS, rank_label(rank), 1);
 }
 
+void stats_waits_for_loan(unsigned int rank)
+{
+	counter_add(C_LOAN_WAITS, rank_label(rank), 1);
+}
+
 void stats_spill_bytes(bool outgoing, size_t n)
 {
 	counter_add(C_SPILL_BYTES, outgoing ? "out" : "in", n);
--- a/src/obs/stats.h
+++ b/src/obs/stats.h
@@ -28,6 +28,8 @@
 
 /* Counts a request sent to another data centre. */
 void stats_spilled(unsigned int rank);
+/* Counts a request that is set aside until an endpoint is lent, aside.h. */
+void stats_waits_for_loan(unsigned int rank);
 /* Counts bytes sent to (outgoing) or received from another data centre. */
 void stats_spill_bytes(bool outgoing, size_t n);
 
