relay, stream: Pass on what waits in parts that fit

Bytes for which the buffer of a caller's stream (64 KiB) had no room were written all at once after it had drained. If more than the buffer holds waited, that write was refused each time, and nothing tried again once the buffer was empty: the stream stalled until its deadline. The same held for one write of more than 64 KiB into an empty buffer, such as a token of 64 KiB with its frame. In src/entry, the error event of a stream that failed could overtake tokens that waited, which were lost while the answer looked whole.

httpd_stream_write_kept() moves as many bytes as fit, in order, and counts them as buffered instead of kept in one step, so that the move needs no room in the memory budget. A stream that fails while tokens wait is cut.

--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -143,8 +143,12 @@
 	AUTO_BUF struct buf b = BUF_INIT;
 
 	buf_addf(&b, "event: error\ndata: %s\n\n", text ? text : "{}");
-	if (httpd_stream_write(r->http, buf_head(&b), buf_unread(&b)) < 0) {
-		/* The caller's stream buffer is full: close the connection. */
+	if (buf_unread(&r->unsent_output) ||
+	    httpd_stream_write(r->http, buf_head(&b), buf_unread(&b)) < 0) {
+		/*
+		 * The caller's stream buffer is full, or tokens wait that the
+		 * event would overtake: close the connection.
+		 */
 		httpd_abort(r->http);
 	} else {
 		httpd_stream_end(r->http);
@@ -183,29 +187,8 @@
 
 static void on_drained(void *arg, struct httpd_req *http)
 {
-	struct request *r = arg;
-
-	if (buf_unread(&r->unsent_output)) {
-		ssize_t n =
-			httpd_stream_write(http, buf_head(&r->unsent_output),
-					   buf_unread(&r->unsent_output));
-		if (n < 0)
-			return;
-		buf_consume(&r->unsent_output, buf_unread(&r->unsent_output));
-		httpd_keep(http, 0);
-	}
-	if (r->finished) {
-		httpd_stream_end(http);
-		r->http = NULL;
-		request_end(r);
-		return;
-	}
-	if (r->paused && r->fetch) {
-		r->paused = false;
-		fetch_resume(r->fetch);
-		if (r->rs.ep)
-			route_stream_set_paused(&r->rs, false, clock_mono_us());
-	}
+	(void)http;
+	stream_drained(arg);
 }
 
 static void on_resume_window_expired(struct ev_loop *loop, ev_timer *w,
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -163,6 +163,10 @@
 /* Submits the generation, or resumes it from next_index. */
 void stream_open(struct request *r, bool resume);
 
+/* The caller's stream has room again: passes on what waits, and then ends the
+ * request if it has finished, or reads on from the endpoint. */
+void stream_drained(struct request *r);
+
 /* Closes the connection to the endpoint; the generation itself goes on. */
 void stream_close(struct request *r);
 
--- a/src/entry/stream.c
+++ b/src/entry/stream.c
@@ -29,9 +29,6 @@
 #define RECONNECTS_MAX 3
 #define REFUSAL_MAX_BYTES 4096
 
-/* Bytes of output kept for a caller that reads too slowly. */
-#define OUT_MAX_BYTES (256 * 1024)
-
 static void on_headers(void *arg, struct fetch *f, int status);
 static void on_data(void *arg, struct fetch *f, const char *p, size_t n);
 static void on_done(void *arg, struct fetch *f, const struct fetch_result *res);
@@ -237,16 +234,29 @@
 	r->http = NULL;
 }
 
+/* Counts what is kept for the caller; false: the budget has no room for it. */
+static bool count_unsent(struct request *r)
+{
+	size_t n = buf_unread(&r->unsent_output);
+
+	if (n && r->fetch)
+		n += fetcher_paused_bytes(r->entry->fetcher);
+	return httpd_keep(r->http, n);
+}
+
 static void send_to_caller(struct request *r, const struct buf *b)
 {
-	if (!buf_unread(&r->unsent_output) &&
+	bool waits = buf_unread(&r->unsent_output);
+
+	if (!waits &&
 	    httpd_stream_write(r->http, buf_head(b), buf_unread(b)) >= 0)
 		return;
 	/* The caller reads slowly: the endpoint keeps the rest. */
 	buf_add(&r->unsent_output, buf_head(b), buf_unread(b));
-	if (!httpd_keep(r->http,
-			buf_unread(&r->unsent_output) +
-				fetcher_paused_bytes(r->entry->fetcher)))
+	/* An empty buffer, which has no room for a long chunk, never drains. */
+	if (!waits)
+		httpd_stream_write_kept(r->http, &r->unsent_output);
+	if (!count_unsent(r))
 		httpd_shed(r->http);
 	if (!r->paused && r->fetch) {
 		r->paused = true;
@@ -256,6 +266,28 @@
 	}
 }
 
+void stream_drained(struct request *r)
+{
+	if (buf_unread(&r->unsent_output)) {
+		bool all = httpd_stream_write_kept(r->http, &r->unsent_output);
+		count_unsent(r);
+		if (!all)
+			return;
+	}
+	if (r->finished) {
+		httpd_stream_end(r->http);
+		r->http = NULL;
+		request_end(r);
+		return;
+	}
+	if (r->paused && r->fetch) {
+		r->paused = false;
+		fetch_resume(r->fetch);
+		if (r->rs.ep)
+			route_stream_set_paused(&r->rs, false, clock_mono_us());
+	}
+}
+
 static void deliver(struct request *r, const struct ep_event *ev)
 {
 	struct buf *b = &r->entry->chunk;
@@ -456,7 +488,7 @@
 		reply_unstreamed(r);
 	if (r->http && buf_unread(&r->unsent_output)) {
 		stream_close(r);
-		return; /* on_drained() ends the request */
+		return; /* stream_drained() ends the request */
 	}
 	if (r->http) {
 		httpd_stream_end(r->http);
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -55,17 +55,21 @@
 }
 
 /*
- * Sends bytes to the caller.  If its buffer is full, keeps them until
- * relay_drained() and pauses the transfer from the endpoint.
+ * Sends bytes to the caller.  Keeps what its buffer has no room for until
+ * relay_drained(), and pauses the transfer from the endpoint.
  */
 static void write_to_caller(struct request *r, const char *p, size_t n)
 {
-	if (buf_unread(&r->unsent_events) ||
-	    httpd_stream_write(r->http, p, n) < 0) {
-		buf_add(&r->unsent_events, p, n);
-		if (r->fetch)
-			fetch_pause(r->fetch);
-	}
+	bool waits = buf_unread(&r->unsent_events);
+
+	if (!waits && httpd_stream_write(r->http, p, n) >= 0)
+		return;
+	buf_add(&r->unsent_events, p, n);
+	/* An empty buffer, which has no room for large parts, never drains. */
+	if (!waits)
+		httpd_stream_write_kept(r->http, &r->unsent_events);
+	if (r->fetch)
+		fetch_pause(r->fetch);
 }
 
 bool relay_count_kept(struct request *r)
@@ -328,14 +332,11 @@
 
 void relay_drained(struct request *r, int64_t now)
 {
-	size_t n = buf_unread(&r->unsent_events);
-
-	if (n) {
-		if (httpd_stream_write(r->http, buf_head(&r->unsent_events),
-				       n) < 0)
-			return;
-		buf_consume(&r->unsent_events, n);
+	if (buf_unread(&r->unsent_events)) {
+		bool all = httpd_stream_write_kept(r->http, &r->unsent_events);
 		relay_count_kept(r);
+		if (!all)
+			return;
 	}
 	if (r->stream_ended)
 		finish_stream(r, now);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -1313,13 +1313,8 @@
 	req_resume(req);
 }
 
-ssize_t httpd_stream_write(struct httpd_req *req, const void *data, size_t len)
+static void add_to_stream(struct httpd_req *req, const void *data, size_t len)
 {
-	assert(req->state == REQ_STREAM);
-	if (buf_unread(&req->out) + len > req->h->cfg.max_stream) {
-		req->drain_pending = 1;
-		return -MW_EAGAIN;
-	}
 	if (!buf_unread(&req->out))
 		set_memory_kind(req, MEMBUDGET_ANSWER);
 	buf_add(&req->out, data, len);
@@ -1328,9 +1323,36 @@
 	if (buf_unread(&req->out) > req->h->cfg.max_stream / 2)
 		req->drain_pending = 1;
 	req_resume(req);
+}
+
+ssize_t httpd_stream_write(struct httpd_req *req, const void *data, size_t len)
+{
+	assert(req->state == REQ_STREAM);
+	if (buf_unread(&req->out) + len > req->h->cfg.max_stream) {
+		req->drain_pending = 1;
+		return -MW_EAGAIN;
+	}
+	add_to_stream(req, data, len);
 	return (ssize_t)buf_unread(&req->out);
 }
 
+bool httpd_stream_write_kept(struct httpd_req *req, struct buf *kept)
+{
+	assert(req->state == REQ_STREAM);
+	/* The buffer never holds more than max_stream. */
+	size_t room = req->h->cfg.max_stream - buf_unread(&req->out);
+	size_t n = MIN(buf_unread(kept), room);
+
+	if (n < buf_unread(kept))
+		req->drain_pending = 1;
+	if (n) {
+		req->kept_bytes -= MIN(n, req->kept_bytes);
+		add_to_stream(req, buf_head(kept), n);
+		buf_consume(kept, n);
+	}
+	return !buf_unread(kept);
+}
+
 void httpd_stream_end(struct httpd_req *req)
 {
 	assert(req->state == REQ_STREAM);
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -199,6 +199,14 @@
  */
 ssize_t httpd_stream_write(struct httpd_req *req, const void *data, size_t len);
 
+/*
+ * Moves bytes that the owner keeps for the stream to its buffer: as many as
+ * fit, in order.  Returns whether all were moved; if not, `drained` is called
+ * once there is room for more.  The bytes moved count as kept no longer, so
+ * that the move of bytes counted by httpd_keep() needs no room in the budget.
+ */
+bool httpd_stream_write_kept(struct httpd_req *req, struct buf *kept);
+
 /* Ends the stream after its buffered bytes are sent. */
 void httpd_stream_end(struct httpd_req *req);
 
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,230 @@
+#include "check_main.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <ev.h>
+
+#include "base/clock.h"
+#include "forward/crashes.h"
+#include "forward/request.h"
+#include "net/fetch.h"
+
+/*
+ * Streams that a forwarder passes on to a caller, with the HTTP server and a
+ * client in one process.  The tests pass on the events of the endpoint.
+ */
+
+/* Larger than a stream's buffer of 64 KiB. */
+#define LARGE_EVENT 200000
+
+static char service_name[] = "model", route_name[] = "chat";
+
+static struct world {
+	struct conf conf;
+	struct fwd f;
+	struct plan_service service;
+	struct plan_route route;
+	struct httpd *server;
+	struct request *r; /* NULL once it has ended */
+	struct buf expected, received;
+	struct fetch_result result;
+	bool done, closed;
+} w;
+
+/* Runs the loop until the condition holds, for at most 5 s. */
+#define RUN_UNTIL(cond)                                                        \
+	do {                                                                   \
+		int64_t end = clock_mono_us() + 5 * USEC_PER_SEC;              \
+		while (!(cond) && clock_mono_us() < end)                       \
+			ev_run(w.f.loop, EVRUN_NOWAIT);                        \
+		ck_assert_msg(cond, #cond);                                    \
+	} while (0)
+
+static void on_drained(void *arg, struct httpd_req *http)
+{
+	(void)http;
+	relay_drained(arg, clock_mono_us());
+}
+
+static void on_closed(void *arg, struct httpd_req *http)
+{
+	(void)http;
+	w.closed = true;
+	w.r = NULL;
+	request_free(arg);
+}
+
+static const struct httpd_req_ops http_ops = {on_drained, on_closed};
+
+/* Begins the stream of a request that is at an endpoint. */
+static void handle(void *ctx, struct httpd_req *http)
+{
+	struct request *r = g_new0(struct request, 1);
+
+	(void)ctx;
+	r->fwd = &w.f;
+	r->http = http;
+	r->service = &w.service;
+	r->route = &w.route;
+	r->state = REQUEST_STREAM;
+	r->attempts = 1;
+	r->arrived_us = clock_mono_us();
+	r->deadline_us = r->arrived_us + 60 * USEC_PER_SEC;
+	r->stream_begun = true;
+	list_init(&r->delayed);
+	list_init(&r->wait_node);
+	list_init(&r->endpoint_node);
+	list_add_tail(&w.f.requests, &r->node);
+	w.f.n_requests++;
+	w.r = r;
+	httpd_set_owner(http, &http_ops, r);
+	httpd_stream_begin(http, 200, NULL);
+}
+
+static void on_data(void *arg, struct fetch *f, const char *p, size_t n)
+{
+	(void)arg;
+	(void)f;
+	buf_add(&w.received, p, n);
+}
+
+static void on_done(void *arg, struct fetch *f, const struct fetch_result *res)
+{
+	(void)arg;
+	(void)f;
+	w.result = *res;
+	w.done = true;
+}
+
+static const struct fetch_ops client_ops = {NULL, on_data, on_done};
+
+static void begin(void)
+{
+	char url[64];
+
+	memset(&w, 0, sizeof(w));
+	w.f.conf = &w.conf;
+	w.f.loop = ev_loop_new(EVFLAG_AUTO);
+	w.f.fetcher = fetcher_new(w.f.loop, 0);
+	w.f.rand = g_rand_new_with_seed(1);
+	w.f.endpoints = g_hash_table_new(g_str_hash, g_str_equal);
+	w.f.services = g_hash_table_new(g_str_hash, g_str_equal);
+	list_init(&w.f.requests);
+	list_init(&w.f.waiting);
+	list_init(&w.f.source_stops);
+	w.service.name = service_name;
+	w.route.name = route_name;
+	w.route.kind = PLAN_STREAM;
+	membudget_init(&w.f.memory, 16);
+	crashes_start(&w.f);
+	struct httpd_config cfg = {.sndbuf = 4096, .budget = &w.f.memory};
+	ck_assert_int_eq(httpd_new(w.f.loop, "127.0.0.1", 0, &cfg, handle, NULL,
+				   &w.server),
+			 0);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/",
+		 httpd_port(w.server));
+	struct fetch_spec spec = {.method = "GET", .url = url};
+	fetch_start(w.f.fetcher, &spec, &client_ops, NULL);
+	RUN_UNTIL(w.r);
+}
+
+/* Ends what is open; nothing may be counted any more. */
+static void end(void)
+{
+	httpd_free(w.server);
+	ck_assert_uint_eq(w.f.memory.used, 0);
+	ck_assert_uint_eq(w.f.n_requests, 0);
+	fetcher_free(w.f.fetcher);
+	crashes_stop(&w.f);
+	membudget_release(&w.f.memory);
+	g_hash_table_destroy(w.f.endpoints);
+	g_hash_table_destroy(w.f.services);
+	g_rand_free(w.f.rand);
+	buf_release(&w.expected);
+	buf_release(&w.received);
+	ev_loop_destroy(w.f.loop);
+}
+
+/* The endpoint sends an event of some size, whose text depends on its id. */
+static void send_event(uint64_t id, size_t size)
+{
+	AUTO_BUF struct buf b = BUF_INIT;
+
+	buf_addf(&b, "id: %" G_GUINT64_FORMAT "\ndata: ", id);
+	while (buf_unread(&b) < size)
+		buf_addf(&b, "%zu-%" G_GUINT64_FORMAT " ", buf_unread(&b), id);
+	buf_addstr(&b, "\n\n");
+	buf_add(&w.expected, buf_head(&b), buf_unread(&b));
+	relay_data(w.r, buf_head(&b), buf_unread(&b), clock_mono_us());
+}
+
+static void check_received(void)
+{
+	RUN_UNTIL(w.done);
+	ck_assert_int_eq(w.result.err, FETCH_OK);
+	ck_assert(!w.closed);
+	ck_assert_uint_eq(buf_unread(&w.received), buf_unread(&w.expected));
+	ck_assert_mem_eq(buf_head(&w.received), buf_head(&w.expected),
+			 buf_unread(&w.expected));
+}
+
+static void end_at_endpoint(void)
+{
+	struct request *r = w.r;
+
+	w.r = NULL;
+	relay_endpoint_done(r, true, "", clock_mono_us());
+}
+
+/* Guards against a stream that stalls as more waits than its buffer holds, and
+ * against one that ends before all has been passed on. */
+START_TEST(test_more_than_the_buffer_waits)
+{
+	begin();
+	for (uint64_t id = 1; id <= 40; id++)
+		send_event(id, 10000);
+	ck_assert_uint_gt(buf_unread(&w.r->unsent_events), 300000);
+	end_at_endpoint();
+	check_received();
+	end();
+}
+END_TEST
+
+/* Guards against an event that is larger than the buffer and is never passed
+ * on, as a buffer that is empty cannot drain. */
+START_TEST(test_event_larger_than_the_buffer)
+{
+	begin();
+	send_event(1, LARGE_EVENT);
+	RUN_UNTIL(!buf_unread(&w.r->unsent_events));
+	send_event(2, 100);
+	send_event(3, 2 * LARGE_EVENT);
+	end_at_endpoint();
+	check_received();
+	end();
+}
+END_TEST
+
+/* Guards against a stream that is shed as its bytes are counted twice while
+ * they move to its buffer. */
+START_TEST(test_draining_needs_no_room)
+{
+	begin();
+	for (uint64_t id = 1; id <= 40; id++)
+		send_event(id, 10000);
+	/* The room is for what libmicrohttpd's own buffer holds meanwhile. */
+	w.f.memory.capacity = w.f.memory.used + 20000;
+	end_at_endpoint();
+	check_received();
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_more_than_the_buffer_waits,
+				      test_event_larger_than_the_buffer,
+				      test_draining_needs_no_room};
+
+	return check_main("relay", tests, G_N_ELEMENTS(tests));
+}
