httpd: Leave socket bytes that were refused out of a request's sum

The bytes in the socket of a request in work stayed in its sum although the budget had no room for them. The request was not shed for them then, but its next event, for which there was room, was refused with them and ended the stream.

test_refused_socket_bytes: with 40,000 pipelined bytes in the socket and room for 10,000, a stream was shed at an event of 5 bytes; now it goes on, and the bytes are counted once the budget has room.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -820,7 +820,9 @@
 	}
 }
 
-/* Counts what the sockets of requests hold besides. */
+/* Counts what the sockets of requests hold besides.  A request in work is not
+ * shed for it: its next event would be, were the refused bytes to stay in its
+ * sum. */
 static void count_sockets(struct httpd *h)
 {
 	struct httpd_req *req;
@@ -828,12 +830,16 @@
 	list_for_each_entry (req, &h->reqs, link) {
 		if (req->shed || req->state == REQ_CLOSED)
 			continue;
-		size_t n = sockbuf_queued(req->fd);
-		if (n == req->queued_bytes)
+		size_t n = sockbuf_queued(req->fd), before = req->queued_bytes;
+		if (n == before)
 			continue;
 		req->queued_bytes = n;
-		if (!update_memory(req) && req->mem.kind != MEMBUDGET_HELD)
+		if (update_memory(req))
+			continue;
+		if (req->mem.kind != MEMBUDGET_HELD)
 			on_req_shed(req);
+		else
+			req->queued_bytes = before; /* until there is room */
 	}
 }
 
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -775,6 +775,44 @@
 }
 END_TEST
 
+/* Guards against a stream in work that ends at its next event, for which there
+ * is room, as its socket holds bytes for which there was none. */
+START_TEST(test_refused_socket_bytes)
+{
+	static char pipelined[40000];
+	struct membudget budget;
+	int fd;
+
+	membudget_init(&budget, 16);
+	replace_server(&(struct httpd_config){.budget = &budget,
+					      .limit_sockets = true});
+	fd = connect_raw();
+	send_raw(fd, "/stream");
+	RUN_UNTIL(open_req);
+	size_t used = budget.used;
+	budget.capacity = used + 10000;
+	ck_assert_int_eq(write(fd, pipelined, sizeof(pipelined)),
+			 sizeof(pipelined));
+	int64_t start_us = clock_mono_us();
+	RUN_UNTIL(clock_mono_us() - start_us > 600 * USEC_PER_MSEC);
+	ck_assert_uint_eq(budget.used, used);
+	ck_assert_int_gt(httpd_stream_write(open_req, "event", 5), 0);
+	ck_assert_uint_eq(budget.shed, 0);
+	start_us = clock_mono_us();
+	RUN_UNTIL(clock_mono_us() - start_us > 600 * USEC_PER_MSEC);
+	ck_assert_int_eq(closed, 0);
+	/* They count once there is room. */
+	budget.capacity = 10000000;
+	RUN_UNTIL(budget.used > used + 20000);
+	httpd_abort(open_req);
+	RUN_UNTIL(!httpd_open_requests(server));
+	close(fd);
+	replace_server(NULL);
+	ck_assert_uint_eq(budget.used, 0);
+	membudget_release(&budget);
+}
+END_TEST
+
 /* Guards against limits of a published document that do not hold, and against a
  * limit that it has withdrawn. */
 START_TEST(test_sizes)
@@ -847,6 +885,7 @@
 	tcase_add_test(tc, test_budget_sheds_unfinished_bodies);
 	tcase_add_test(tc, test_header_time);
 	tcase_add_test(tc, test_kept_bytes);
+	tcase_add_test(tc, test_refused_socket_bytes);
 	tcase_add_test(tc, test_sizes);
 	suite_add_tcase(s, tc);
 	SRunner *sr = srunner_create(s);
