relay: Take no repeat for a stream that was shed

The owner of a request whose connection was shed is told in the next iteration of the loop. Until then, an event of the stream found no room, as its holder was leaving, and an endpoint that broke off was replaced: each took a repeat from the service's budget, and an attempt at an endpoint, for a caller that gets nothing more. A stream whose endpoint ended in that time was recorded as answered.

httpd_is_shed() tells the owner. may_repeat() refuses, events are dropped, and the request ends with its connection as cut off.

test_no_repeat_of_shed_stream: 1 repeat before, 0 now. test_shed_stream_is_not_answered: 1 stream counted as answered before, 0 now.

--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -90,8 +90,8 @@
  */
 static void end_without_room(struct request *r, int64_t now)
 {
-	if (!buf_unread(&r->unsent_events) && list_empty(&r->delayed) &&
-	    !relay_event_is_cut(r)) {
+	if (!httpd_is_shed(r->http) && !buf_unread(&r->unsent_events) &&
+	    list_empty(&r->delayed) && !relay_event_is_cut(r)) {
 		relay_drop_part(r);
 		if (request_continue(r, "no memory for its events", now))
 			return;
@@ -249,6 +249,9 @@
 
 void relay_data(struct request *r, const char *p, size_t n, int64_t now)
 {
+	/* The request ends as soon as its connection is seen to be closed. */
+	if (httpd_is_shed(r->http))
+		return;
 	while (n) {
 		bool whole;
 		size_t len = event_scan_feed(&r->scan, p, n, &whole);
@@ -301,16 +304,20 @@
 			 int64_t now)
 {
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
+	bool shed = httpd_is_shed(r->http);
 
 	/* A server that crashes may close its connections in order. */
 	if (complete && r->answer.unframed && !r->events) {
 		complete = false;
 		why = "closed before the first event";
 	}
+	/* The caller has not got all, and the scan may lack events. */
+	if (complete && shed)
+		return;
 	if (complete && !event_scan_is_inside(&r->scan)) {
 		r->stream_ended = true;
 		relay_tick(r, INT64_MAX);
-		if (!buf_unread(&r->unsent_events))
+		if (!buf_unread(&r->unsent_events) && !httpd_is_shed(r->http))
 			finish_stream(r, now);
 		return;
 	}
@@ -326,12 +333,16 @@
 	if (ep && ep->incarnation == r->incarnation)
 		endpoints_record_failure(r->fwd, ep, now);
 	crashes_attempt_broken(r, now);
+	if (shed)
+		return; /* on_closed() ends it */
 	if (event_is_cut || !request_continue(r, why, now))
 		relay_abort(r, why, now);
 }
 
 void relay_drained(struct request *r, int64_t now)
 {
+	if (httpd_is_shed(r->http))
+		return;
 	if (buf_unread(&r->unsent_events)) {
 		bool all = httpd_stream_write_kept(r->http, &r->unsent_events);
 		relay_count_kept(r);
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -436,6 +436,9 @@
 {
 	if (r->deadline_us - now < REQUEST_LEFT_MIN_US)
 		return false;
+	/* Its caller would not get the answer. */
+	if (httpd_is_shed(r->http))
+		return false;
 	if (!delivered)
 		return ++r->failed_deliveries <= FAILED_DELIVERIES_MAX;
 	if (may_have_run && !may_run_again(r))
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -256,7 +256,7 @@
 void relay_data(struct request *r, const char *p, size_t n, int64_t now);
 /*
  * The endpoint's answer has ended; why is logged if it is not complete.  May
- * free the request.
+ * free the request.  One whose connection was shed ends with the connection.
  */
 void relay_endpoint_done(struct request *r, bool complete, const char *why,
 			 int64_t now);
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -1372,6 +1372,11 @@
 	on_req_shed(req);
 }
 
+bool httpd_is_shed(const struct httpd_req *req)
+{
+	return req->shed;
+}
+
 void httpd_abort(struct httpd_req *req)
 {
 	assert(req_is_owned(req));
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -221,6 +221,13 @@
 /* Closes the connection for want of memory; `closed` is called later. */
 void httpd_shed(struct httpd_req *req);
 
+/*
+ * Whether the connection is being closed, for want of memory or for others, so
+ * that nothing more reaches the client.  `closed` is called in the next
+ * iteration of the loop, unless the owner ends the request before.
+ */
+bool httpd_is_shed(const struct httpd_req *req);
+
 /* Closes the connection without completing the answer; no `closed` call. */
 void httpd_abort(struct httpd_req *req);
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -5,9 +5,11 @@
 #include <ev.h>
 
 #include "base/clock.h"
+#include "forward/accounts.h"
 #include "forward/crashes.h"
 #include "forward/request.h"
 #include "net/fetch.h"
+#include "obs/counter.h"
 
 /*
  * Streams that a forwarder passes on to a caller, with the HTTP server and a
@@ -22,6 +24,7 @@
 static struct world {
 	struct conf conf;
 	struct fwd f;
+	struct plan plan;
 	struct plan_service service;
 	struct plan_route route;
 	struct httpd *server;
@@ -64,6 +67,7 @@
 	(void)ctx;
 	r->fwd = &w.f;
 	r->http = http;
+	r->plan = &w.plan;
 	r->service = &w.service;
 	r->route = &w.route;
 	r->state = REQUEST_STREAM;
@@ -98,17 +102,28 @@
 
 static const struct fetch_ops client_ops = {NULL, on_data, on_done};
 
+static void state_free(void *p)
+{
+	struct service_state *s = p;
+
+	accounts_release(&s->accounts);
+	g_free(s);
+}
+
 static void begin(void)
 {
 	char url[64];
 
 	memset(&w, 0, sizeof(w));
 	w.f.conf = &w.conf;
+	w.f.plan = &w.plan;
+	w.plan.refs = 2; /* that of the request is given back */
 	w.f.loop = ev_loop_new(EVFLAG_AUTO);
 	w.f.fetcher = fetcher_new(w.f.loop, 0);
 	w.f.rand = g_rand_new_with_seed(1);
 	w.f.endpoints = g_hash_table_new(g_str_hash, g_str_equal);
-	w.f.services = g_hash_table_new(g_str_hash, g_str_equal);
+	w.f.services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     state_free);
 	list_init(&w.f.requests);
 	list_init(&w.f.waiting);
 	list_init(&w.f.source_stops);
@@ -220,11 +235,62 @@
 }
 END_TEST
 
+/* A stream whose connection is shed, and that another endpoint could continue
+ * if its caller were still there. */
+static void begin_shed(void)
+{
+	begin();
+	w.route.resumable = true;
+	w.route.max_endpoints = 3;
+	w.conf.repeat_spare = 100;
+	/* No region is allowed, so that a repeat is refused once it is taken
+	 * from the budget. */
+	w.r->residency.restricted = true;
+	send_event(1, 100);
+	RUN_UNTIL(buf_unread(&w.received) == buf_unread(&w.expected));
+	httpd_shed(w.r->http);
+}
+
+/* The request ends with its connection, and has cost no repeat. */
+static void check_no_repeat(void)
+{
+	ck_assert_uint_eq(
+		endpoints_service_state(&w.f, service_name)->budget.repeats, 0);
+	RUN_UNTIL(w.closed && w.done);
+	ck_assert_int_eq(w.result.err, FETCH_BROKEN);
+	end();
+}
+
+/* Guards against a repeat for a caller whose connection was just shed. */
+START_TEST(test_no_repeat_of_shed_stream)
+{
+	begin_shed();
+	send_event(2, 100);
+	check_no_repeat();
+	begin_shed();
+	relay_endpoint_done(w.r, false, "closed", clock_mono_us());
+	check_no_repeat();
+}
+END_TEST
+
+/* Guards against a stream that was shed and is recorded as answered. */
+START_TEST(test_shed_stream_is_not_answered)
+{
+	begin_shed();
+	int64_t ok = counter_value(C_FORWARDED, "ok");
+	relay_endpoint_done(w.r, true, "", clock_mono_us());
+	ck_assert_int_eq(counter_value(C_FORWARDED, "ok"), ok);
+	check_no_repeat();
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {test_more_than_the_buffer_waits,
 				      test_event_larger_than_the_buffer,
-				      test_draining_needs_no_room};
+				      test_draining_needs_no_room,
+				      test_no_repeat_of_shed_stream,
+				      test_shed_stream_is_not_answered};
 
 	return check_main("relay", tests, G_N_ELEMENTS(tests));
 }
