--- a/src/rep/disk_writer.c
+++ b/src/rep/disk_writer.c
@@ -7,6 +7,7 @@
 struct queued_job {
 	struct list node;
 	struct disk_job job;
+	uint64_t n; /* submitted jobs that it stands for */
 };
 
 struct disk_writer {
@@ -81,7 +82,7 @@
 			break;
 		list_del(&q->node);
 		list_add_tail(jobs, &q->node);
-		n++;
+		n += q->n;
 		if (q->job.save_vote)
 			break;
 	}
@@ -152,18 +153,45 @@
 	g_free(w);
 }
 
+/*
+ * Lets a job that replaces the log stand for those from the first snapshot on
+ * that waits.  Else each new leader adds a snapshot while the disk does not
+ * return.  They are done only with it, and the newest vote is saved before its
+ * snapshot, as it would have been.
+ */
+static void replace_waiting(struct disk_writer *w, struct queued_job *newer)
+{
+	struct queued_job *q, *tmp;
+	bool replaced = false, has_own_vote = newer->job.save_vote;
+
+	list_for_each_entry_safe (q, tmp, &w->jobs, node) {
+		replaced |= q->job.has_snap;
+		if (!replaced)
+			continue;
+		if (q->job.save_vote && !has_own_vote) {
+			newer->job.save_vote = true;
+			newer->job.vote = q->job.vote;
+		}
+		newer->n += q->n;
+		queued_job_free(q);
+	}
+}
+
 uint64_t disk_writer_submit(struct disk_writer *w, const struct disk_job *job)
 {
 	struct queued_job *q = g_new0(struct queued_job, 1);
 	uint64_t number;
 
 	q->job = *job;
+	q->n = 1;
 	q->job.snap.data = NULL;
 	if (job->has_snap)
 		q->job.snap.data = g_bytes_ref(job->snap.data);
 	if (job->append)
 		q->job.append = g_ptr_array_ref(job->append);
 	g_mutex_lock(&w->lock);
+	if (job->has_snap && job->reset_log)
+		replace_waiting(w, q);
 	list_add_tail(&w->jobs, &q->node);
 	number = ++w->submitted;
 	g_cond_signal(&w->changed);
--- a/src/rep/disk_writer.h
+++ b/src/rep/disk_writer.h
@@ -14,7 +14,9 @@
  * meanwhile, or the process sends no heartbeat and acknowledges none.
  *
  * Jobs are carried out in the order of their submission and numbered from 1 on.
- * Appends that wait together share one sync.  Between disk_writer_new() and
+ * Appends that wait together share one sync.  A snapshot that replaces the log
+ * is written instead of a snapshot that waits and what was submitted between
+ * them, so that at most one such snapshot waits.  Between disk_writer_new() and
  * disk_writer_free() the disk belongs to the thread; all functions here are
  * called by the thread that created the writer.
  */
--- a/tests/test_disk_writer.c
+++ b/tests/test_disk_writer.c
@@ -22,6 +22,7 @@
 	GCond changed;
 	bool stalled, fails;
 	unsigned int syncs, waiting;
+	unsigned int fail_after; /* syncs; 0: never */
 } fake;
 
 static int fake_sync(void)
@@ -35,7 +36,7 @@
 		g_cond_wait(&fake.changed, &fake.lock);
 	fake.waiting--;
 	fake.syncs++;
-	fails = fake.fails;
+	fails = fake.fails || (fake.fail_after && fake.syncs > fake.fail_after);
 	g_mutex_unlock(&fake.lock);
 	if (fails)
 		errno = EIO;
@@ -252,6 +253,96 @@
 }
 END_TEST
 
+static gint live_snaps; /* whose bytes are held */
+
+static void count_released(gpointer unused)
+{
+	(void)unused;
+	g_atomic_int_dec_and_test(&live_snaps);
+}
+
+static uint64_t install(uint64_t index)
+{
+	struct disk_job job = {.has_snap = true, .reset_log = true};
+	uint64_t number;
+
+	job.snap.index = index;
+	job.snap.term = 1;
+	job.snap.voters_index = 1;
+	job.snap.voters.n = 1;
+	job.snap.voters.v[0].id = 1;
+	job.snap.data =
+		g_bytes_new_with_free_func("state", 5, count_released, NULL);
+	g_atomic_int_inc(&live_snaps);
+	number = disk_writer_submit(writer, &job);
+	g_bytes_unref(job.snap.data);
+	return number;
+}
+
+/* Guards against snapshots that pile up while the disk does not return, one for
+ * each change of the leader, and against votes, entries or numbers of jobs that
+ * get lost with them. */
+START_TEST(test_snapshots_do_not_pile_up)
+{
+	struct rep_stored stored;
+	uint64_t last = 0, before;
+
+	start();
+	wait_for_job(before = vote(1));
+	set_stalled(true);
+	append(1);
+	wait_for_stall();
+	append(2);
+	for (uint64_t i = 1; i <= 50; i++) {
+		vote(1 + i);
+		install(100 * i);
+		last = append(100 * i + 1);
+		ck_assert_int_le(g_atomic_int_get(&live_snaps), 2);
+	}
+	ck_assert_uint_eq(last, before + 2 + 3 * 50);
+	ck_assert_uint_eq(progress().done, before);
+	set_stalled(false);
+	wait_for_job(last);
+	ck_assert_uint_eq(progress().done, last);
+	ck_assert_int_eq(g_atomic_int_get(&live_snaps), 0);
+	restart(&stored);
+	ck_assert_uint_eq(stored.vote.term, 51);
+	ck_assert_uint_eq(stored.snap.index, 5000);
+	ck_assert_uint_eq(stored.entries->len, 1);
+	end(&stored);
+}
+END_TEST
+
+/* Guards against a job that counts as done before the snapshot that replaced
+ * its own, which a crash would then lose. */
+START_TEST(test_replaced_job_is_not_done)
+{
+	struct rep_stored stored = {0};
+	uint64_t before;
+
+	start();
+	wait_for_job(before = vote(1));
+	set_stalled(true);
+	append(1);
+	wait_for_stall();
+	vote(2);
+	install(100);
+	vote(3);
+	install(200);
+	/* The vote of term 2 is written, the snapshot is not. */
+	g_mutex_lock(&fake.lock);
+	fake.fail_after = fake.syncs + 3;
+	g_mutex_unlock(&fake.lock);
+	set_stalled(false);
+	wait_for_job(UINT64_MAX);
+	ck_assert_int_eq(progress().error, -MW_EIO);
+	ck_assert_uint_eq(progress().done, before + 2);
+	fake.fail_after = 0;
+	disk_writer_free(writer);
+	end(&stored);
+}
+END_TEST
+
 static void *end_stall_later(void *unused)
 {
 	g_usleep(USEC_PER_SEC);
@@ -284,8 +375,12 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {test_caller_does_not_wait, test_order,
-				      test_error, test_end_drops_what_waits};
+	const TTest *const tests[] = {test_caller_does_not_wait,
+				      test_order,
+				      test_error,
+				      test_end_drops_what_waits,
+				      test_snapshots_do_not_pile_up,
+				      test_replaced_job_is_not_done};
 
 	return check_main("disk_writer", tests, G_N_ELEMENTS(tests));
 }
