evacuate: Answer the leader's own operator within the time of an order

An order on the process that leads stayed open until it committed. If the disks of a majority stall, its operator got no answer, while one at another process is told that the outcome is not known.

The call is now answered with 504 at the first tick after 0.9 s, and stays until the order ends, whose outcome is logged as late or lost. Nothing is tried again after that.

--- a/src/control/ctl_evacuate.c
+++ b/src/control/ctl_evacuate.c
@@ -26,7 +26,8 @@
 /* Bytes of a name in an order, as settings.schema has it. */
 #define OPERATOR_MAX_BYTES 128
 
-/* A call of an operator to this process that is not answered yet. */
+/* A call of an operator to this process.  One whose order on this process is
+ * open stays after its answer, until the order ends. */
 struct evacuation_call {
 	struct list node;
 	struct ctl *ctl;
@@ -37,6 +38,8 @@
 	int64_t next_try_us;
 	bool open;	      /* a call to the leader, or an order, is open */
 	bool may_have_effect; /* an order was sent, and its outcome is lost */
+	bool own_order;	      /* what is open is an order on this process */
+	bool answered;	      /* only on_own_order() is still to come */
 	admin_reply_fn fn;
 	void *arg;
 };
@@ -286,8 +289,15 @@
 	slog_end(&l);
 }
 
+static void call_free(struct evacuation_call *call)
+{
+	list_del(&call->node);
+	g_free(call);
+}
+
 /* err is 0, or a negative error number; then detail may explain it. */
-static void call_end(struct evacuation_call *call, int err, const char *detail)
+static void call_answer(struct evacuation_call *call, int err,
+			const char *detail)
 {
 	int status = 200;
 	AUTO_JSON json_t *done = json_pack("{s:s, s:b}", "dc", call->dc,
@@ -298,9 +308,14 @@
 
 	call_log(call, err < 0 ? err_info(err)->kind : "committed",
 		 clock_mono_us());
-	list_del(&call->node);
+	call->answered = true;
 	call->fn(call->arg, status, json, strlen(json));
-	g_free(call);
+}
+
+static void call_end(struct evacuation_call *call, int err, const char *detail)
+{
+	call_answer(call, err, detail);
+	call_free(call);
 }
 
 static void call_end_unknown_dc(struct evacuation_call *call)
@@ -331,6 +346,12 @@
 	struct evacuation_call *call = ctx;
 	int64_t now = clock_mono_us();
 
+	call->own_order = false;
+	if (call->answered) {
+		call_log(call, err == 0 && r->err == 0 ? "late" : "lost", now);
+		call_free(call);
+		return;
+	}
 	if (err == -MW_ENOTLEADER || err == -MW_EDEADLINE ||
 	    err == -MW_ENOLEADER)
 		call_retry(call, now);
@@ -417,7 +438,7 @@
 			call_end_unknown_dc(call);
 			return;
 		}
-		call->open = true;
+		call->open = call->own_order = true;
 		order_submit(c, call->dc, call->begins, call->operator_name,
 			     call->arrived_us + EVACUATION_WAIT_MAX_US,
 			     on_own_order, call);
@@ -436,9 +457,14 @@
 	drop_expired(c, now);
 	submit_next(c);
 	list_for_each_entry_safe (call, tmp, &c->evacuation_calls, node) {
+		bool late = now - call->arrived_us > EVACUATION_WAIT_MAX_US;
+
+		/* A commit may take as long as the disks of a majority. */
+		if (late && call->own_order && !call->answered)
+			call_answer(call, -MW_EUNKNOWN, NULL);
 		if (call->open)
 			continue;
-		if (now - call->arrived_us > EVACUATION_WAIT_MAX_US)
+		if (late)
 			call_end(call,
 				 call->may_have_effect ? -MW_EUNKNOWN
 						       : -MW_EDEADLINE,
@@ -493,8 +519,11 @@
 {
 	struct evacuation_call *call, *tmp;
 
-	list_for_each_entry_safe (call, tmp, &c->evacuation_calls, node)
-		call_end(call, -MW_EUNKNOWN, NULL);
+	list_for_each_entry_safe (call, tmp, &c->evacuation_calls, node) {
+		if (!call->answered)
+			call_answer(call, -MW_EUNKNOWN, NULL);
+		call_free(call);
+	}
 	evacuation_release(&c->evacuation);
 }
 
