--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -429,6 +429,9 @@
 static bool may_repeat(struct request *r, bool may_have_run, bool delivered,
 		       int64_t now)
 {
+	/* Its caller would not get the answer. */
+	if (httpd_is_shed(r->http))
+		return false;
 	r->failed_deliveries += !delivered;
 	const struct repeat_facts facts = {
 		.delivered = delivered,
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -820,7 +820,9 @@
 	}
 }
 
-/* Counts what the sockets of requests hold besides. */
+/* Counts what the sockets of requests hold besides.  A request in work is not
+ * shed for it: its next event would be, were the refused bytes to stay in its
+ * sum. */
 static void count_sockets(struct httpd *h)
 {
 	struct httpd_req *req;
@@ -828,12 +830,16 @@
 	list_for_each_entry (req, &h->reqs, link) {
 		if (req->shed || req->state == REQ_CLOSED)
 			continue;
-		size_t n = sockbuf_queued(req->fd);
-		if (n == req->queued_bytes)
+		size_t n = sockbuf_queued(req->fd), before = req->queued_bytes;
+		if (n == before)
 			continue;
 		req->queued_bytes = n;
-		if (!update_memory(req) && req->mem.kind != MEMBUDGET_HELD)
+		if (update_memory(req))
+			continue;
+		if (req->mem.kind != MEMBUDGET_HELD)
 			on_req_shed(req);
+		else
+			req->queued_bytes = before; /* until there is room */
 	}
 }
 
@@ -1313,13 +1319,8 @@
 	req_resume(req);
 }
 
-ssize_t httpd_stream_write(struct httpd_req *req, const void *data, size_t len)
+static void add_to_stream(struct httpd_req *req, const void *data, size_t len)
 {
-	assert(req->state == REQ_STREAM);
-	if (buf_unread(&req->out) + len > req->h->cfg.max_stream) {
-		req->drain_pending = 1;
-		return -MW_EAGAIN;
-	}
 	if (!buf_unread(&req->out))
 		set_memory_kind(req, MEMBUDGET_ANSWER);
 	buf_add(&req->out, data, len);
@@ -1328,9 +1329,36 @@
 	if (buf_unread(&req->out) > req->h->cfg.max_stream / 2)
 		req->drain_pending = 1;
 	req_resume(req);
+}
+
+ssize_t httpd_stream_write(struct httpd_req *req, const void *data, size_t len)
+{
+	assert(req->state == REQ_STREAM);
+	if (buf_unread(&req->out) + len > req->h->cfg.max_stream) {
+		req->drain_pending = 1;
+		return -MW_EAGAIN;
+	}
+	add_to_stream(req, data, len);
 	return (ssize_t)buf_unread(&req->out);
 }
 
+bool httpd_stream_write_kept(struct httpd_req *req, struct buf *kept)
+{
+	assert(req->state == REQ_STREAM);
+	/* The buffer never holds more than max_stream. */
+	size_t room = req->h->cfg.max_stream - buf_unread(&req->out);
+	size_t n = MIN(buf_unread(kept), room);
+
+	if (n < buf_unread(kept))
+		req->drain_pending = 1;
+	if (n) {
+		req->kept_bytes -= MIN(n, req->kept_bytes);
+		add_to_stream(req, buf_head(kept), n);
+		buf_consume(kept, n);
+	}
+	return !buf_unread(kept);
+}
+
 void httpd_stream_end(struct httpd_req *req)
 {
 	assert(req->state == REQ_STREAM);
@@ -1344,6 +1372,11 @@
 	on_req_shed(req);
 }
 
+bool httpd_is_shed(const struct httpd_req *req)
+{
+	return req->shed;
+}
+
 void httpd_abort(struct httpd_req *req)
 {
 	assert(req_is_owned(req));
