registry: Repeat the rows of endpoints that said in a response that they leave

Cause: hosts get changes only, and drop the row of an endpoint that is not in use after 60 s. An endpoint that said only in a response that it leaves still announces itself as serving, so that after a restart of all control processes more than 60 s later no process knew that it leaves.

Change: registry_merge() makes such a row one to be sent on every 20 s while the endpoint announces itself. registry_hold() is for hosts without a control process.

Result: test_said_leaving_is_kept fails before and passes after (release, sanitizer build).

--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -181,6 +181,17 @@
 	       (!info->cold_ms && shift_us < -REGISTRY_COLD_TOLERANCE_US);
 }
 
+/* The result of merging a newer row; notes when it is to be sent on. */
+static enum registry_change record_change(struct registry_row *stored,
+					  bool same, int64_t now)
+{
+	if (same && (!stored->info->said_leaving ||
+		     now - stored->sent_us < REGISTRY_REPEAT_US))
+		return REGISTRY_REFRESHED;
+	stored->sent_us = now;
+	return REGISTRY_CHANGED;
+}
+
 enum registry_change registry_merge(struct registry *r,
 				    const Mw__EndpointInfo *info, int64_t now)
 {
@@ -234,7 +245,7 @@
 			settle_address(r, former_addr, stored);
 		notify(r, stored);
 	}
-	return same ? REGISTRY_REFRESHED : REGISTRY_CHANGED;
+	return record_change(stored, same, now);
 }
 
 static void mark_left(struct registry *r, struct registry_row *row, int64_t now)
@@ -368,3 +379,13 @@
 	for (guint i = 0; i < changed->len; i++)
 		settle_address(r, changed->pdata[i], NULL);
 }
+
+void registry_hold(struct registry *r, int64_t now)
+{
+	GHashTableIter iter;
+	struct registry_row *row;
+
+	g_hash_table_iter_init(&iter, r->rows);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&row))
+		row->received_us = now;
+}
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -39,16 +39,26 @@
  */
 #define REGISTRY_COLD_TOLERANCE_US INT64_C(1000000)
 
+/*
+ * Announcements of an endpoint whose answers said that it leaves are sent on
+ * this often, although nothing changes: control processes that restart know it
+ * from the hosts only, whose rows must not expire before its announcements end.
+ */
+#define REGISTRY_REPEAT_US (REGISTRY_EXPIRY_US / 3)
+
 enum registry_change {
 	REGISTRY_IGNORED,   /* superseded by a stored row: no effect */
 	REGISTRY_REFRESHED, /* newer, with the same content */
-	REGISTRY_CHANGED,   /* must be sent on to the other processes */
+	/* Must be sent on to the other processes: new content, or a repetition
+	 * (REGISTRY_REPEAT_US). */
+	REGISTRY_CHANGED,
 };
 
 struct registry_row {
 	Mw__EndpointInfo *info;
 	int64_t received_us; /* last announcement or change of state */
 	int64_t since_us;    /* first announcement of this incarnation */
+	int64_t sent_us;     /* last REGISTRY_CHANGED of registry_merge() */
 	/* Until when processes that got only changes take it for cold; 0: warm.
 	 */
 	int64_t cold_until_us;
@@ -145,6 +155,12 @@
 		     void (*stale)(const struct registry_row *row, void *arg),
 		     void *arg);
 
+/*
+ * Starts the expiry of all rows again.  For a process that can't receive any
+ * announcement now.
+ */
+void registry_hold(struct registry *r, int64_t now);
+
 /* Value of leave_deadline_ms for an endpoint that has left for good. */
 #define REGISTRY_LEFT_DEADLINE_MS UINT64_MAX
 
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -315,6 +315,52 @@
 }
 END_TEST
 
+/* Two processes: control gets the announcements of e, the host only changes.
+ * Returns whether the host knows at `end` that e leaves. */
+static bool host_knows(struct registry *control, struct registry *host,
+		       uint64_t start_s, uint64_t announced_s, uint64_t end_s)
+{
+	g_autoptr(GString) stale = g_string_new(NULL);
+
+	for (uint64_t s = start_s; s < end_s; s++) {
+		int64_t now = (int64_t)s * SEC;
+		Mw__EndpointInfo e = new_info("e", 5, s, "h:1", "serving");
+
+		if (s < announced_s &&
+		    registry_merge(control, &e, now) == REGISTRY_CHANGED)
+			registry_merge(host, registry_find(control, "e")->info,
+				       now);
+		registry_expire(control, now, append_id, stale);
+		registry_expire(host, now, NULL, NULL);
+	}
+	const struct registry_row *row = registry_find(host, "e");
+	return row && row->info->said_leaving;
+}
+
+/* Guards against a host that forgets, while the endpoint still announces
+ * itself, that an answer said it leaves: control processes that restart then
+ * learn it from no host.  Guards against a row that stays after the endpoint
+ * has ended. */
+START_TEST(test_said_leaving_is_kept)
+{
+	struct registry *control = registry_new(), *host = registry_new();
+	Mw__EndpointInfo serving = new_info("e", 5, 999, "h:1", "serving");
+
+	merge(control, "e", 5, 1, "h:1", "serving");
+	merge(host, "e", 5, 1, "h:1", "serving");
+	const struct registry_row *row =
+		registry_mark_leaving(control, "e", 5, 0);
+	registry_merge(host, row->info, 0);
+	ck_assert(host_knows(control, host, 2, 300, 300));
+	ck_assert(registry_contradicts(host, &serving));
+	ck_assert(!host_knows(control, host, 300, 0, 440));
+	ck_assert_ptr_null(registry_find(host, "e"));
+	ck_assert_ptr_null(registry_find(control, "e"));
+	registry_free(control);
+	registry_free(host);
+}
+END_TEST
+
 /* Expires the rows of a process once a second until `end`; e announces itself,
  * with increasing seq, as often.  Returns the time from which on its own row is
  * in use, or -1. */
@@ -431,6 +477,7 @@
 				      test_claimant_follows_holder,
 				      test_watch_sees_replaced_owner,
 				      test_expiry,
+				      test_said_leaving_is_kept,
 				      test_false_entry_under_id_ends,
 				      test_false_leave_ends,
 				      test_cold};
