forward: Tell control of each leaving endpoint that it offers, and log first rows

Cause: (1) the script notices failed as a host did not log the first row of an endpoint if that was not in use: the host had the row. The script passed only if the row came first as serving. (2) A host told a control process that it had forgotten a leaving endpoint only if the announcement was not newer than its own row; the first copy always is, so that a control process which alone offered the endpoint was not told. (3) A host without a control process dropped its rows after 60 s.

--- a/src/forward/endpoints.c
+++ b/src/forward/endpoints.c
@@ -95,6 +95,7 @@
 	ep->open_elsewhere = 0;
 	ep->needed_elsewhere_tokens = ep->prefill_elsewhere_tokens = 0;
 	ep->serving = ep->is_gone = false;
+	ep->state[0] = '\0';
 	ep->rate = (struct rate){0};
 	ep->warmup.cold_until_us = ep->warmup.assumed_us = 0;
 	ep->paused_until_us = 0;
@@ -114,6 +115,27 @@
 	return row->claims ? "claims" : row->info->state;
 }
 
+/*
+ * Logs the first row of an incarnation and each change of its state, also
+ * between states in which the endpoint gets no requests.
+ */
+static void log_state(struct fwd_endpoint *ep, const struct registry_row *row)
+{
+	const char *state = state_name(row);
+
+	if (!strncmp(ep->state, state, sizeof(ep->state) - 1))
+		return;
+	g_strlcpy(ep->state, state, sizeof(ep->state));
+	struct slog l = slog_begin("endpoint");
+	slog_str(&l, "endpoint", ep->id);
+	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
+	slog_int(&l, "seq", (int64_t)row->info->seq);
+	slog_str(&l, "addr", ep->addr);
+	slog_str(&l, "state", state);
+	slog_int(&l, "open_here", ep->open_here);
+	slog_end(&l);
+}
+
 static void on_row_changed(const struct registry_row *row, void *arg)
 {
 	struct fwd *f = arg;
@@ -147,19 +169,12 @@
 	ep->holds = row->holds;
 	bool serving = !row->left && !row->claims &&
 		       !strcmp(info->state, REGISTRY_SERVING);
+	log_state(ep, row);
 	if (serving == ep->serving && !(row->claims && !was_claiming))
 		return;
 	bool starts_leaving = ep->serving;
 	ep->serving = serving;
 	ep->leaving_since_us = starts_leaving ? clock_mono_us() : 0;
-	struct slog l = slog_begin("endpoint");
-	slog_str(&l, "endpoint", ep->id);
-	slog_int(&l, "endpoint_incarnation", (int64_t)ep->incarnation);
-	slog_int(&l, "seq", (int64_t)info->seq);
-	slog_str(&l, "addr", ep->addr);
-	slog_str(&l, "state", state_name(row));
-	slog_int(&l, "open_here", ep->open_here);
-	slog_end(&l);
 	/* No copy can be made at an address that may have another server. */
 	if (starts_leaving && !row->replaced && !(row->left && row->contested))
 		ep->move_due_us = clock_mono_us() + MOVE_DELAY_US;
@@ -190,15 +205,14 @@
 				   int64_t now)
 {
 	enum registry_change change = registry_merge(f->registry, info, now);
-	bool ignored = change == REGISTRY_IGNORED;
 
-	if (!ignored)
+	if (change != REGISTRY_IGNORED)
 		apply_announced_cold(f, info, change, now);
 	if (f->place_waiting) {
 		f->place_waiting = false;
 		request_place_waiting(f, now);
 	}
-	return ignored && registry_contradicts(f->registry, info)
+	return registry_contradicts(f->registry, info)
 		       ? registry_find(f->registry, info->id)->info
 		       : NULL;
 }
@@ -766,6 +780,8 @@
 	GHashTableIter iter;
 	struct fwd_endpoint *ep;
 
+	if (!control_link_controls(f))
+		registry_hold(f->registry, now);
 	registry_expire(f->registry, now, NULL, NULL);
 	owner_checks_tick(f, now);
 	if (f->place_waiting) {
--- a/src/forward/fwd.h
+++ b/src/forward/fwd.h
@@ -76,6 +76,7 @@
 	int region; /* of dc in fwd::regions */
 	uint64_t incarnation;
 	unsigned int slots; /* requests that it runs at the same time */
+	char state[16]; /* as logged last; empty: no row of this incarnation */
 	bool serving;
 	bool leaves;	  /* it has said so, or has left */
 	bool has_left;	  /* another endpoint may have the address by now */
