failures: Compare with as many idle endpoints as busy ones

Endpoints that fail at once attract all requests, so the others are idle. With one idle endpoint in the comparison, two endpoints that failed each of their attempts set the common share beside four idle ones: they got no cost and were not avoided, though they were before.

As many idle endpoints as busy ones are compared, so failing ones have no majority. test_others_idle failed with two and three busy endpoints.

--- a/src/forward/failures.c
+++ b/src/forward/failures.c
@@ -68,8 +68,8 @@
 	return (x > y) - (x < y);
 }
 
-/* Moves the endpoints with attempts to the front, and one of the others, if
- * any; returns their number. */
+/* Moves the endpoints with attempts to the front, and as many of the others, or
+ * one if none has attempts; returns their number. */
 static size_t drop_idle(struct failures_counts *counts, size_t n)
 {
 	size_t busy = 0;
@@ -77,15 +77,17 @@
 	for (size_t i = 0; i < n; i++)
 		if (counts[i].attempts >= BUSY_ATTEMPTS)
 			counts[busy++] = counts[i];
-	if (busy < n)
-		counts[busy++] = (struct failures_counts){0};
-	return busy;
+	size_t kept = MIN(n, busy ? 2 * busy : 1);
+
+	for (size_t i = busy; i < kept; i++)
+		counts[i] = (struct failures_counts){0};
+	return kept;
 }
 
 /*
  * Share of failures of the better half of the endpoints, which changes counts.
- * If a single endpoint gets all attempts, the share of the others is unknown,
- * and not that endpoint's.
+ * If half of the endpoints or fewer get all attempts, the share of the others
+ * is unknown, and not that of these endpoints.
  */
 static double common_share(struct failures_counts *counts, size_t n)
 {
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -294,21 +294,31 @@
 }
 END_TEST
 
-/* Guards against an endpoint that gets all requests, as it fails them at once,
- * and so sets the common share, and against one that is alone. */
+/* Guards against endpoints that get all requests, as they fail them at once,
+ * and so set the common share, against none left if no others exist, and
+ * against a cost of those that fail as requests do everywhere. */
 START_TEST(test_others_idle)
 {
-	struct failures f[ENDPOINTS] = {0};
 	struct failures_item items[ENDPOINTS];
 
-	for (size_t i = 0; i < ENDPOINTS; i++)
-		items[i] = (struct failures_item){&f[i], i ? 0 : 12, 0};
-	failures_update(items, 1, NOW);
-	ck_assert(!f[0].avoided);
-	ck_assert_int_eq(failures_cost_us(&f[0], true), 0);
-	failures_update(items, ENDPOINTS, NOW + SEC);
-	ck_assert(f[0].avoided);
-	ck_assert_int_gt(failures_cost_us(&f[0], false), 40 * MS);
+	for (size_t n = 1; n <= 3; n++) {
+		struct failures f[ENDPOINTS] = {0};
+
+		for (size_t i = 0; i < ENDPOINTS; i++)
+			items[i] = (struct failures_item){&f[i], i < n ? 12 : 0,
+							  0};
+		failures_update(items, n, NOW);
+		ck_assert(!f[0].avoided);
+		ck_assert_int_eq(failures_cost_us(&f[0], true), 0);
+		failures_update(items, ENDPOINTS, NOW + SEC);
+		ck_assert(f[0].avoided && f[n - 1].avoided);
+		ck_assert_int_gt(failures_cost_us(&f[0], false), 40 * MS);
+		memset(f, 0, sizeof(f));
+		for (size_t i = 0; i < n; i++)
+			items[i] = (struct failures_item){&f[i], 20, 90};
+		failures_update(items, ENDPOINTS, NOW);
+		ck_assert_int_eq(failures_cost_us(&f[0], true), 0);
+	}
 }
 END_TEST
 
