repeat: Charge no failed connections while an endpoint is untried

Attempts after the third one that reached no endpoint were charged to the budget of repeats. One of 70 hosts has 1.5 of them (178 x 0.6 / 70), so a request was still refused after five attempts while usable endpoints were left, and the charges took the budget from idempotent requests.

Such an attempt is free while a usable endpoint was not tried: it adds no delivered attempt.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -144,15 +144,30 @@
 	return may_send(r, ep, now);
 }
 
+static bool is_unreached(const struct request *r, const struct fwd_endpoint *ep)
+{
+	return r->unreached && g_ptr_array_find_with_equal_func(
+				       r->unreached, ep->id, g_str_equal, NULL);
+}
+
+bool request_any_untried(struct request *r, int64_t now)
+{
+	GHashTableIter iter;
+	struct fwd_endpoint *ep;
+
+	g_hash_table_iter_init(&iter, r->fwd->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
+		if (!strcmp(ep->service, r->service->name) &&
+		    may_send(r, ep, now) && !is_unreached(r, ep))
+			return true;
+	return false;
+}
+
 static bool is_excluded(const struct request *r, const struct fwd_endpoint *ep,
 			const char *except_id)
 {
-	if (!*except_id)
-		return false;
-	return !strcmp(ep->id, except_id) ||
-	       (r->unreached &&
-		g_ptr_array_find_with_equal_func(r->unreached, ep->id,
-						 g_str_equal, NULL));
+	return *except_id &&
+	       (!strcmp(ep->id, except_id) || is_unreached(r, ep));
 }
 
 static struct candidates gather_candidates(struct request *r,
--- a/src/forward/repeat.c
+++ b/src/forward/repeat.c
@@ -2,7 +2,8 @@
 
 #include <glib.h>
 
-/* Attempts of one request that may reach no endpoint and are not charged. */
+/* Attempts of one request that may reach no endpoint and are not charged, even
+ * if no endpoint is left to try. */
 #define FREE_DELIVERIES_MAX 3
 
 /* Failures elsewhere are known after 0.1 s (usage_interval.h). */
@@ -17,7 +18,7 @@
 	if (f->left_us < REPEAT_LEFT_MIN_US)
 		return REPEAT_NO;
 	if (!f->delivered)
-		return f->failed_deliveries <= FREE_DELIVERIES_MAX
+		return f->untried || f->failed_deliveries <= FREE_DELIVERIES_MAX
 			       ? REPEAT_FREE
 			       : REPEAT_CHARGED;
 	if (f->may_have_run &&
--- a/src/forward/repeat.h
+++ b/src/forward/repeat.h
@@ -10,7 +10,9 @@
  *
  * Nothing that may have run is run again unless its route allows that.  An
  * attempt that reached no endpoint ran nothing, so it does not end the request:
- * several endpoints may have crashed together while others are running.
+ * several endpoints may have crashed together while others are running.  It is
+ * not charged while one is left to try: the budget of one of 70 hosts is less
+ * than two repeats.
  */
 
 struct repeat_facts {
@@ -23,7 +25,8 @@
 	unsigned int attempts; /* sent, whether or not delivered */
 	unsigned int max_attempts;
 	unsigned int failed_deliveries; /* attempts that were not delivered */
-	int64_t left_us;		/* until its deadline */
+	bool untried;	 /* a usable endpoint is left that they did not try */
+	int64_t left_us; /* until its deadline */
 };
 
 enum repeat_verdict {
--- a/src/forward/request.c
+++ b/src/forward/request.c
@@ -438,6 +438,7 @@
 		.attempts = r->attempts,
 		.max_attempts = r->route->max_endpoints,
 		.failed_deliveries = r->failed_deliveries,
+		.untried = !delivered && request_any_untried(r, now),
 		.left_us = r->deadline_us - now};
 	enum repeat_verdict v = repeat_decide(&facts);
 
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -194,6 +194,10 @@
  */
 bool request_any_usable(struct request *r, int64_t *back_us, int64_t now);
 
+/* Whether an endpoint that the request's attempts did not fail to reach may get
+ * it now. */
+bool request_any_untried(struct request *r, int64_t now);
+
 /* Whether the request may be at the endpoint at all, whatever the endpoint's
  * present state. */
 bool request_is_permitted(struct request *r, const struct fwd_endpoint *ep);
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -227,6 +227,9 @@
 	g_ptr_array_add(t->r.unreached, g_strdup("i-x1"));
 	ck_assert_uint_eq(chosen_dcs(t, "i-x1"), 0x6);
 	ck_assert_uint_eq(chosen_dcs(t, ""), 0xf);
+	ck_assert(request_any_untried(&t->r, 1));
+	endpoint(t, "i-n2")->serving = endpoint(t, "i-s1")->serving = false;
+	ck_assert(!request_any_untried(&t->r, 1));
 	g_ptr_array_unref(t->r.unreached);
 	t->r.unreached = NULL;
 	tear_down(t);
