choose: Use failing endpoints if no others may be used

Since answers with 5xx count as failures, a request whose regions have only endpoints that fail most attempts was refused, or waited until it was, though some of its attempts would have succeeded. The comparison in failures.c keeps some endpoints of a service, but not of each set of regions, and the others may be paused or have ended.

Endpoints that are avoided for their failures are used if no other one may get the request now. Generations are not moved there. After a connection that fails, an endpoint is still not used for a while (avoid_until_us). test_all_avoided failed before.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -119,17 +119,17 @@
 	return request_region_allowed(r, ep);
 }
 
-/* Whether any request may be sent to the endpoint. */
+/* Whether any request may be sent to the endpoint, which may fail most of them
+ * (failures.h). */
 static bool is_usable(struct fwd *f, const struct fwd_endpoint *ep, int64_t now)
 {
 	return !endpoints_is_evacuated(f, ep) && ep->serving && !ep->is_gone &&
-	       now >= ep->avoid_until_us && now >= ep->paused_until_us &&
-	       !ep->failures.avoided;
+	       now >= ep->avoid_until_us && now >= ep->paused_until_us;
 }
 
 /*
- * Whether the endpoint may get the request now.  Whether it has room for it is
- * decided later, by place.c.
+ * Whether the endpoint may get the request now, if no other one that does not
+ * fail may.  Whether it has room for it is decided later, by place.c.
  */
 static bool may_send(struct request *r, const struct fwd_endpoint *ep,
 		     int64_t now)
@@ -141,7 +141,7 @@
 bool request_may_use_endpoint(struct request *r, const struct fwd_endpoint *ep,
 			      int64_t now)
 {
-	return may_send(r, ep, now);
+	return may_send(r, ep, now) && !ep->failures.avoided;
 }
 
 static bool is_unreached(const struct request *r, const struct fwd_endpoint *ep)
@@ -158,7 +158,8 @@
 	g_hash_table_iter_init(&iter, r->fwd->endpoints);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&ep))
 		if (!strcmp(ep->service, r->service->name) &&
-		    may_send(r, ep, now) && !is_unreached(r, ep))
+		    request_may_use_endpoint(r, ep, now) &&
+		    !is_unreached(r, ep))
 			return true;
 	return false;
 }
@@ -170,6 +171,20 @@
 	       (!strcmp(ep->id, except_id) || is_unreached(r, ep));
 }
 
+/*
+ * Lets the request use endpoints that fail if no other one may get it: all that
+ * it may use fail, or the others have ended.  Generations are not moved there.
+ */
+static void use_failing(struct candidates *c, struct request *r, int64_t now)
+{
+	bool any = r->move.state != MOVE_NONE;
+
+	for (size_t i = 0; i < c->n; i++)
+		any |= c->targets[i].usable;
+	for (size_t i = 0; !any && i < c->n; i++)
+		c->targets[i].usable = may_send(r, c->endpoints[i], now);
+}
+
 static struct candidates gather_candidates(struct request *r,
 					   const char *except_id,
 					   const char *near_dc, int64_t now)
@@ -188,7 +203,7 @@
 			continue;
 		c.endpoints[c.n] = ep;
 		c.targets[c.n++] = (struct place_target){
-			.usable = may_send(r, ep, now),
+			.usable = request_may_use_endpoint(r, ep, now),
 			.excluded = is_excluded(r, ep, except_id),
 			.distance = leave_distance(f, near_dc, ep),
 			.slots = ep->slots,
@@ -210,6 +225,7 @@
 					  : (unsigned int)ep->region + 1,
 		};
 	}
+	use_failing(&c, r, now);
 	if (r->generation)
 		place_add_unseen_load(c.targets, c.n,
 				      unseen_hosts_ratio(&f->unseen_hosts));
@@ -297,7 +313,8 @@
 	struct demand_amounts a = {0};
 
 	for (size_t i = 0; i < c.n; i++) {
-		c.targets[i].usable = is_usable(r->fwd, c.endpoints[i], now);
+		c.targets[i].usable = is_usable(r->fwd, c.endpoints[i], now) &&
+				      !c.endpoints[i]->failures.avoided;
 		struct place_capacity s = place_sum_capacity(&c.targets[i], 1);
 		demand_add_amount(&a, c.endpoints[i]->region,
 				  memory ? s.memory_tokens : s.room_tokens);
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -236,6 +236,24 @@
 }
 END_TEST
 
+/* Guards against a refusal as all endpoints that the request may use fail, and
+ * against an endpoint that fails while another one may be used. */
+START_TEST(test_all_avoided)
+{
+	struct fixture *t = set_up("north", NULL);
+	int64_t back_us;
+
+	endpoint(t, "i-n1")->failures.avoided = true;
+	ck_assert_uint_eq(chosen_dcs(t, "i-n2"), 0);
+	endpoint(t, "i-n2")->failures.avoided = true;
+	ck_assert(request_any_usable(&t->r, &back_us, 1));
+	ck_assert_uint_eq(chosen_dcs(t, ""), 0x3);
+	t->r.move.state = MOVE_COPY;
+	ck_assert_uint_eq(chosen_dcs(t, "i-s1"), 0);
+	tear_down(t);
+}
+END_TEST
+
 /* Guards against a move, or its resumption, at a forbidden target.  The source
  * is in a region that is no longer allowed, so that near targets are wrong. */
 START_TEST(test_move_target)
@@ -381,11 +399,11 @@
 
 int main(void)
 {
-	const TTest *const tests[] = {test_sets,	test_many_regions,
-				      test_choice,	test_unreached,
-				      test_move_target, test_capacity,
-				      test_plan_change, test_map_change,
-				      test_region_down, test_queue_report};
+	const TTest *const tests[] = {
+		test_sets,	  test_many_regions, test_choice,
+		test_unreached,	  test_all_avoided,  test_move_target,
+		test_capacity,	  test_plan_change,  test_map_change,
+		test_region_down, test_queue_report};
 
 	return check_main("residency", tests, sizeof(tests) / sizeof(*tests));
 }
