choose: Move generations to endpoints that were not reached once

Endpoints that an attempt of a request did not reach were left out of all its later choices by their id. For a stream that began since, they may have restarted long ago, but were never targets of its moves.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -144,10 +144,13 @@
 	return may_send(r, ep, now) && !ep->failures.avoided;
 }
 
+/* Whether an attempt did not reach the endpoint, before a stream began. */
 static bool is_unreached(const struct request *r, const struct fwd_endpoint *ep)
 {
-	return r->unreached && g_ptr_array_find_with_equal_func(
-				       r->unreached, ep->id, g_str_equal, NULL);
+	return r->unreached && r->state != REQUEST_STREAM &&
+	       r->state != REQUEST_PAUSED &&
+	       g_ptr_array_find_with_equal_func(r->unreached, ep->id,
+						g_str_equal, NULL);
 }
 
 bool request_any_untried(struct request *r, int64_t now)
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -227,6 +227,10 @@
 	g_ptr_array_add(t->r.unreached, g_strdup("i-x1"));
 	ck_assert_uint_eq(chosen_dcs(t, "i-x1"), 0x6);
 	ck_assert_uint_eq(chosen_dcs(t, ""), 0xf);
+	/* For a stream that began since, this is long ago. */
+	t->r.state = REQUEST_STREAM;
+	ck_assert_uint_eq(chosen_dcs(t, "i-x1"), 0x7);
+	t->r.state = REQUEST_WAITING;
 	ck_assert(request_any_untried(&t->r, 1));
 	endpoint(t, "i-n2")->serving = endpoint(t, "i-s1")->serving = false;
 	ck_assert(!request_any_untried(&t->r, 1));
