queue: Place requests again after their wait for failed connections

After the wait such a request was treated as one that had been found to lack room: if endpoints were full, its account was not marked as short, and if they were evacuated or paused, it waited until its time was over instead of being refused at once.

request_place() handles it again when the wait is over. test_wait_after_failures failed before.

--- a/src/forward/queue.c
+++ b/src/forward/queue.c
@@ -650,6 +650,7 @@
 		enqueue_waiting(r);
 		return;
 	}
+	r->not_before_us = 0;
 	if (v != BLAME_HOLD && place_judged(r, v, &finding, &any_usable, now))
 		return;
 	if (refuse_if_evacuated(r, now))
@@ -734,6 +735,15 @@
 		list_add_tail(&f->waiting, &keys[i].request->wait_node);
 }
 
+/* Places a request that has waited after connections that failed, as one that
+ * was not queued: it may be refused, or wait for room now. */
+static void place_again(struct request *r, int64_t now)
+{
+	list_del(&r->wait_node);
+	r->fwd->n_waiting--;
+	request_place(r, now);
+}
+
 void request_place_waiting(struct fwd *f, int64_t now)
 {
 	struct request *r, *tmp;
@@ -745,6 +755,10 @@
 
 		if (r->displaced || now < r->not_before_us)
 			continue;
+		if (r->not_before_us) {
+			place_again(r, now);
+			continue;
+		}
 		enum blame_verdict v = judge(r, &finding, now);
 
 		if (v == BLAME_REFUSE || refuse_outside_regions(r, now))
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "forward/crashes.h"
 #include "forward/regions.h"
 #include "forward/request.h"
 #include "policy/residency.h"
@@ -401,13 +402,43 @@
 }
 END_TEST
 
+/* Guards against a request that is placed, or refused for room, before it has
+ * waited after connections that failed, and against one that then waits for
+ * room as no new request does: others must learn that its account is short. */
+START_TEST(test_wait_after_failures)
+{
+	struct fixture *t = set_up(NULL, NULL);
+	struct service_state *s = endpoints_service_state(&t->f, "s");
+
+	crashes_start(&t->f);
+	t->r.generation = true;
+	t->r.deadline_us = USEC_PER_SEC;
+	t->r.not_before_us = 100;
+	list_init(&t->r.wait_node);
+	request_place(&t->r, 50);
+	ck_assert_uint_eq(t->f.n_waiting, 1);
+	for (int i = 0; i < 4; i++)
+		endpoint(t, (const char *[]){"i-n1", "i-n2", "i-s1", "i-x1"}[i])
+			->open_here = 8;
+	request_place_waiting(&t->f, 99);
+	ck_assert_int_eq(s->accounts.short_us, 0);
+	request_place_waiting(&t->f, 100);
+	ck_assert_int_eq(s->accounts.short_us, 100);
+	request_place_waiting(&t->f, 110);
+	ck_assert_int_eq(s->accounts.short_us, 100);
+	ck_assert_uint_eq(t->f.n_waiting, 1);
+	crashes_stop(&t->f);
+	tear_down(t);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_sets,	  test_many_regions, test_choice,
 		test_unreached,	  test_all_avoided,  test_move_target,
 		test_capacity,	  test_plan_change,  test_map_change,
-		test_region_down, test_queue_report};
+		test_region_down, test_queue_report, test_wait_after_failures};
 
 	return check_main("residency", tests, sizeof(tests) / sizeof(*tests));
 }
