--- a/tests/test_repeat.c
+++ b/tests/test_repeat.c
@@ -7,6 +7,7 @@
 static const struct repeat_facts idempotent = {.delivered = true,
 					       .may_have_run = true,
 					       .may_run_again = true,
+					       .untried = true,
 					       .attempts = 1,
 					       .max_attempts = 2,
 					       .left_us = 1000 * MS};
