failures: Divide by no squares of longer counts close to zero

36 minutes after the last attempt the square of the decayed count is 0; the bound that was divided by it was not used.

--- a/src/forward/failures.c
+++ b/src/forward/failures.c
@@ -142,9 +142,11 @@
 static double found_excess(const struct failures_counts *c, double z,
 			   double common)
 {
+	/* The bounds of longer counts close to 0 are not finite. */
+	if (c->failed < FAILURES_MIN)
+		return 0;
 	double excess = share_bounds(c, z).low - common;
-
-	return c->failed < FAILURES_MIN || excess < EXCESS_MIN ? 0 : excess;
+	return excess < EXCESS_MIN ? 0 : excess;
 }
 
 /* Whether at least three attempts, and most of them, failed, and half of the
--- a/tests/test_failures.c
+++ b/tests/test_failures.c
@@ -1,5 +1,6 @@
 #include "check_main.h"
 
+#include <fenv.h>
 #include <string.h>
 #include <glib.h>
 
@@ -258,7 +259,7 @@
 /*
  * Guards against no endpoint at all while every endpoint fails most requests,
  * against sending to the one that fails as it gets no requests, and against
- * giving it up for ever.
+ * giving it up for ever, or a division by zero when it got none for long.
  */
 START_TEST(test_avoided)
 {
@@ -279,6 +280,10 @@
 	ck_assert_int_gt(failures_cost_us(&f[0], false), 40 * MS);
 	update(f, 0, 0, 0, NOW + 15 * SEC);
 	ck_assert_int_eq(failures_cost_us(&f[0], true), 0);
+	/* The squares of the longer counts are 0 by then. */
+	feclearexcept(FE_ALL_EXCEPT);
+	update(f, 0, 0, 0, NOW + 3000 * SEC);
+	ck_assert(!fetestexcept(FE_DIVBYZERO | FE_INVALID));
 }
 END_TEST
 
