entry: Include a file's own header first

aside.h stood before the own header of five files, which then no longer showed that this header is self-contained.

--- a/src/entry/admin.c
+++ b/src/entry/admin.c
@@ -1,10 +1,10 @@
-#include "entry/aside.h"
 #include "entry/admin.h"
 
 #include <string.h>
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "entry/aside.h"
 #include "entry/work_stats.h"
 #include "obs/stats.h"
 
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -1,5 +1,3 @@
-#include "entry/aside.h"
-#include "entry/crash_marks.h"
 #include "entry/request.h"
 
 #include <assert.h>
@@ -9,6 +7,8 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "entry/aside.h"
+#include "entry/crash_marks.h"
 #include "obs/stats.h"
 
 #define CANCEL_TIMEOUT_MS 5000
--- a/src/entry/remote.c
+++ b/src/entry/remote.c
@@ -1,4 +1,3 @@
-#include "entry/aside.h"
 #include "entry/request.h"
 
 #include <stdlib.h>
@@ -6,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "entry/aside.h"
 #include "obs/stats.h"
 
 /*
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -1,4 +1,3 @@
-#include "entry/aside.h"
 #include "entry/request.h"
 #include "entry/work_stats.h"
 
@@ -11,6 +10,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "entry/aside.h"
 #include "obs/stats.h"
 
 /* Bytes between two prefix hashes; see docs/endpoint-protocol.md. */
--- a/src/entry/work_stats.c
+++ b/src/entry/work_stats.c
@@ -1,9 +1,9 @@
-#include "entry/aside.h"
 #include "entry/work_stats.h"
 
 #include <string.h>
 
 #include "base/clock.h"
+#include "entry/aside.h"
 #include "entry/request.h"
 #include "obs/window.h"
 
