entry: Keep the age limit of a request that returns to its queue

push() counts the age from its call, so that a restricted request for which a loan came could wait for its rank's age limit once more. Its first limit is now its deadline in the queue.

Measured: test_age_after_return failed before (the limit moved by 1 s) and passes now.

--- a/src/entry/aside.c
+++ b/src/entry/aside.c
@@ -60,8 +60,12 @@
 static void put_back(struct request *r, int64_t now)
 {
 	unsigned int retry_after = 1;
-	int err = r->entry->queue_ops->push(r->pool->queue, &r->item, now,
-					    &retry_after);
+	int err;
+
+	/* Else its age would be counted anew. */
+	r->item.deadline_us = r->aside_until_us;
+	err = r->entry->queue_ops->push(r->pool->queue, &r->item, now,
+					&retry_after);
 
 	if (err == -MW_EQUEUEFULL)
 		return;
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -253,6 +253,25 @@
 }
 END_TEST
 
+/* Guards against a wait for another age limit after a loan was given. */
+START_TEST(test_age_after_return)
+{
+	int64_t now = set_up();
+
+	struct request *r = push("bound", now);
+	int64_t until = (int64_t)r->item.expiry_node.key;
+	dispatch_pump(&e, now);
+	ck_assert(r->aside);
+	lend("north1", "dc3", NORTH_ADDR);
+	/* Without room it stays in the queue. */
+	credit_set_grant(credit_find_endpoint(e.credit, "north1"), 0, now);
+	dispatch_pump(&e, now + USEC_PER_SEC);
+	ck_assert(r->in_queue && !r->aside);
+	ck_assert_int_eq((int64_t)r->item.expiry_node.key, until);
+	tear_down();
+}
+END_TEST
+
 /* Guards against a change for requests without lists. */
 START_TEST(test_without_lists)
 {
@@ -372,7 +391,6 @@
 END_TEST
 
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-
-	  test_without_lists, test_refused_at_once, test_reports_demand,
-	  test_address_of_checked_row, test_address_of_cursor,
-	  test_address_of_call)
+	  test_age_after_return, test_without_lists, test_refused_at_once,
+	  test_reports_demand, test_address_of_checked_row,
+	  test_address_of_cursor, test_address_of_call)
