entry: Refuse a request that crashes endpoints while it waits for a loan

A request that was set aside was not compared with the marks of crashes, so that it was refused after 3 s for want of a loan, instead of at once.

Measured: test_poison_ends_wait failed before and passes now.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -176,6 +176,11 @@
 {
 	struct entry *e = r->entry;
 
+	/* Another endpoint death may have been reported since it was queued. */
+	if (suspect_check(e->suspects, r->fingerprint) < 0) {
+		request_fail(r, -MW_EPOISON, NULL, 0);
+		return true;
+	}
 	if (!request_may_run_in(r, e->conf->dc)) {
 		request_fail(r, -MW_EREGIONDOWN, ENTRY_OUTSIDE_TEXT, 0);
 		return true;
@@ -232,11 +237,6 @@
 	struct route_ep *rep;
 	struct route_query q;
 
-	/* Another endpoint death may have been reported since it was queued. */
-	if (suspect_check(e->suspects, r->fingerprint) < 0) {
-		request_fail(r, -MW_EPOISON, NULL, 0);
-		return 0;
-	}
 	if (dispatch_refuse_if_hopeless(r, now))
 		return 0;
 	fill_query(r, now, &q);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -153,7 +153,8 @@
 /* ---- dispatch.c ---- */
 
 /*
- * Refuses a request that need not wait and returns true: its lists have changed
+ * Refuses a request that need not wait and returns true: it has been found to
+ * crash endpoints, its lists have changed
  * so that this data centre is not allowed, or it needs a loan and no data
  * centre that may lend is in its regions, or all endpoints of its model are
  * evacuated and none can be borrowed.
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -272,6 +272,22 @@
 }
 END_TEST
 
+/* Guards against a wait of a request that has since been found to crash. */
+START_TEST(test_poison_ends_wait)
+{
+	int64_t now = set_up();
+
+	struct request *r = push("bound", now);
+	dispatch_pump(&e, now);
+	ck_assert(r->aside);
+	suspect_add_from_log(e.suspects, "bound", "bound", SUSPECT_DEATHS, NULL,
+			     0, now);
+	dispatch_pump(&e, now + USEC_PER_SEC);
+	ck_assert(!exists(r));
+	tear_down();
+}
+END_TEST
+
 /* Guards against a change for requests without lists. */
 START_TEST(test_without_lists)
 {
@@ -391,6 +407,7 @@
 END_TEST
 
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_age_after_return, test_without_lists, test_refused_at_once,
-	  test_reports_demand, test_address_of_checked_row,
-	  test_address_of_cursor, test_address_of_call)
+	  test_age_after_return, test_poison_ends_wait, test_without_lists,
+	  test_refused_at_once, test_reports_demand,
+	  test_address_of_checked_row, test_address_of_cursor,
+	  test_address_of_call)
