entry: Limit the number of requests that wait for a loan

Outside the queue the limits of its rank do not apply, and each request is looked at every 20 ms. Beyond 512 for a model they are refused as with a full queue.

Measured: test_number_is_limited failed before (513 waited) and passes now.

--- a/src/entry/aside.c
+++ b/src/entry/aside.c
@@ -24,12 +24,18 @@
 	if (err != -MW_ENOENDPOINT || !request_is_restricted(r) ||
 	    aside_has_own_endpoint(r))
 		return false;
+	if (r->pool->n_aside >= ASIDE_MAX) {
+		request_fail(r, -MW_EQUEUEFULL,
+			     "too many requests wait for a loan", 1);
+		return true;
+	}
 	/* The queue's limit, which later changes of settings do not move. */
 	if (!r->aside_until_us)
 		r->aside_until_us = (int64_t)r->item.expiry_node.key;
 	r->entry->queue_ops->remove(r->pool->queue, &r->item, now);
 	r->in_queue = false;
 	r->aside = true;
+	r->pool->n_aside++;
 	list_add_tail(&r->pool->aside, &r->aside_node);
 	entry_event(r->entry, EV_KIND_QUEUED, r->id, r->account, NULL,
 		    "waits for a loan in its regions, others pass it");
@@ -42,6 +48,7 @@
 	if (!r->aside)
 		return;
 	list_del(&r->aside_node);
+	r->pool->n_aside--;
 	r->aside = false;
 }
 
--- a/src/entry/aside.h
+++ b/src/entry/aside.h
@@ -15,12 +15,16 @@
  * came in time.  Requests without lists are never set aside.
  */
 
+/* Requests of a model that wait so at a time; each is looked at every 20 ms. */
+#define ASIDE_MAX 512
+
 /* Whether the host has an endpoint of its own for the request's model. */
 bool aside_has_own_endpoint(const struct request *r);
 
 /*
  * Takes the head of its queue out if it has to wait for a loan, and returns
- * true; else returns false.  err is the result of route_choose().
+ * true; else returns false.  Beyond ASIDE_MAX the request is refused instead.
+ * err is the result of route_choose().
  */
 bool aside_take(struct request *r, int err, int64_t now);
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -69,7 +69,8 @@
 struct pool {
 	char name[128];
 	struct queue *queue;
-	struct list aside;	/* requests that wait for a loan, aside.h */
+	struct list aside; /* requests that wait for a loan, aside.h */
+	size_t n_aside;
 	int64_t aside_tried_us; /* when they were last looked at */
 	struct entry *entry;
 };
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -89,7 +89,7 @@
 		request_end(r);
 	/* Each way to end removes a request from every list and count. */
 	e.queue_ops->stats(p->queue, &st);
-	ck_assert(list_empty(&p->aside) && !st.items[0]);
+	ck_assert(list_empty(&p->aside) && !p->n_aside && !st.items[0]);
 	ck_assert(!e.open_requests && !g_hash_table_size(e.account_backlogs));
 	fetcher_free(e.fetcher);
 	p->queue->ops->destroy(p->queue);
@@ -288,6 +288,22 @@
 }
 END_TEST
 
+/* Guards against waiting requests without a limit on their number. */
+START_TEST(test_number_is_limited)
+{
+	int64_t now = set_up();
+
+	for (size_t i = 0; i < ASIDE_MAX + 1; i++) {
+		push("bound", now);
+		dispatch_pump(&e, now);
+	}
+	struct pool *p = entry_get_pool(&e, "m");
+	ck_assert_uint_eq(aside_count(p, 0, NULL), ASIDE_MAX);
+	ck_assert_uint_eq(e.open_requests, ASIDE_MAX);
+	tear_down();
+}
+END_TEST
+
 /* Guards against a change for requests without lists. */
 START_TEST(test_without_lists)
 {
@@ -407,7 +423,7 @@
 END_TEST
 
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_age_after_return, test_poison_ends_wait, test_without_lists,
-	  test_refused_at_once, test_reports_demand,
+	  test_age_after_return, test_poison_ends_wait, test_number_is_limited,
+	  test_without_lists, test_refused_at_once, test_reports_demand,
 	  test_address_of_checked_row, test_address_of_cursor,
 	  test_address_of_call)
