entry: Set requests aside only for a loan, also for one that has ended

route_choose() finds no endpoint either if the spill budget or the streams of an endpoint in the regions are used up. The request then left the queue and lost its place to others that use the same limits, until it was refused after 3 s. It now stays in the queue, as if it waited for room.

On the other hand a borrowed endpoint whose loan has ended counted as one without room until its row was removed 20 s later, and the request held up others for that time. Restricted requests no longer wait for it.

Measured: test_keeps_place_at_limits and test_ended_loan failed before and pass now; each fails again without its part of the change.

--- a/src/entry/aside.c
+++ b/src/entry/aside.c
@@ -22,7 +22,7 @@
 bool aside_take(struct request *r, int err, int64_t now)
 {
 	if (err != -MW_ENOENDPOINT || !request_is_restricted(r) ||
-	    aside_has_own_endpoint(r))
+	    aside_has_own_endpoint(r) || dispatch_may_place(r, now))
 		return false;
 	if (r->pool->n_aside >= ASIDE_MAX) {
 		request_fail(r, -MW_EQUEUEFULL,
--- a/src/entry/aside.h
+++ b/src/entry/aside.h
@@ -12,7 +12,9 @@
  * when an endpoint may serve it.  Until then it counts in the backlog of its
  * account, in the demand for loans and in the status answers, and ends as it
  * would in the queue: on its deadline, its rank's age limit or when no loan
- * came in time.  Requests without lists are never set aside.
+ * came in time.  A request that waits for room, for a stream at an endpoint in
+ * its regions or for the spill budget stays in the queue, since others would
+ * take these first.  Requests without lists are never set aside.
  */
 
 /* Requests of a model that wait so at a time; each is looked at every 20 ms. */
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -28,7 +28,8 @@
 	return a ? (double)a->weight / 100.0 : 1.0;
 }
 
-void request_forecast(struct request *r, int64_t now, struct est_forecast *out)
+void request_forecast(const struct request *r, int64_t now,
+		      struct est_forecast *out)
 {
 	struct est_query q = {.account = r->account,
 			      .route = r->route,
@@ -97,35 +98,65 @@
 	entry_pump_soon(e);
 }
 
+/* Whether the settings let the endpoint have new requests. */
+static bool endpoint_takes_work(struct entry *e, const struct endpoint *ep)
+{
+	struct tree *t = e->session.cfg.tree;
+
+	return !tree_endpoint(t, ep->dc, ep->id)->drain &&
+	       !tree_dc_settings(t, ep->dc)->evacuated;
+}
+
 /*
  * Whether the settings allow one more request of this host on the endpoint:
  * each host may use an equal part of max_streams.
  */
-static bool endpoint_allows(struct entry *e, const struct endpoint *ep)
+static bool endpoint_has_stream(struct entry *e, const struct endpoint *ep)
 {
 	struct hostcfg *h = &e->session.cfg;
 	const struct endpoint_cfg *cfg = tree_endpoint(h->tree, ep->dc, ep->id);
 	const struct credit_ep *c = credit_find_endpoint(e->credit, ep->id);
 	size_t hosts = h->members ? MAX(1, h->members->n_hosts) : 1;
 
-	if (cfg->drain || tree_dc_settings(h->tree, ep->dc)->evacuated)
-		return false;
 	return !c ||
 	       credit_generations(c) < MAX(1, (size_t)cfg->max_streams / hosts);
 }
 
+/* The endpoints that a request may use. */
+struct choice {
+	const struct request *r;
+	int64_t now;
+	bool ignore_limits; /* also one with as many streams as it may have */
+};
+
+/*
+ * A restricted request doesn't wait for an endpoint whose loan has ended: it
+ * would hold up others, although the lender need not lend again.
+ */
+static bool lacks_loan(const struct request *r, const struct endpoint *ep,
+		       int64_t now)
+{
+	return remote_owns_endpoint(r->entry, ep) &&
+	       !remote_has_loan(r->entry, ep->id, now) &&
+	       request_is_restricted(r);
+}
+
 static bool exclude_endpoint(void *ctx, const char *endpoint)
 {
-	const struct request *r = ctx;
-	const struct endpoint *ep = view_find(r->entry, endpoint);
-	const struct route_ep *rep =
-		route_find_endpoint(r->entry->route, endpoint);
+	const struct choice *c = ctx;
+	const struct request *r = c->r;
+	struct entry *e = r->entry;
+	const struct endpoint *ep = view_find(e, endpoint);
+	const struct route_ep *rep = route_find_endpoint(e->route, endpoint);
 
 	if (!request_may_send(r, ep, route_ep_addr(rep)))
 		return true;
-	if (ep && (!view_may_use(ep) || !endpoint_allows(r->entry, ep)))
+	if (ep && (!view_may_use(ep) || lacks_loan(r, ep, c->now) ||
+		   !endpoint_takes_work(e, ep)))
+		return true;
+	if (ep && !c->ignore_limits && !endpoint_has_stream(e, ep))
 		return true;
-	return !suspect_may_place(r->entry->suspects, r->fingerprint, endpoint);
+	return !suspect_may_place(e->suspects, r->fingerprint, endpoint);
 }
 
 static void place_on_endpoint(struct request *r, struct route_ep *rep,
@@ -197,9 +228,10 @@
 	return false;
 }
 
-/* Fills in the query that chooses an endpoint for the request now. */
-static void fill_query(struct request *r, int64_t now, struct route_query *q)
+/* Fills in the query that chooses an endpoint for c->r now. */
+static void fill_query(struct choice *c, struct route_query *q)
 {
+	const struct request *r = c->r;
 	struct entry *e = r->entry;
 	const struct queue_item *it = &r->item;
 
@@ -210,36 +242,39 @@
 		.bytes = spill_forecast(route_spill_budget(e->route),
 					strlen(r->prompt),
 					it->est_output_tokens),
-		.waited_us = now - r->arrived_us,
+		.waited_us = c->now - r->arrived_us,
 		.need = {.prompt_tokens = r->prompt_tokens,
 			 .rank = r->rank,
 			 .bulk = it->bulk,
 			 .keep_headroom = it->keep_headroom},
 		.credit = e->credit,
 		.exclude = exclude_endpoint,
-		.exclude_ctx = r,
+		.exclude_ctx = c,
 	};
-	request_forecast(r, now, &q->need.output_forecast);
+	request_forecast(r, c->now, &q->need.output_forecast);
 }
 
 bool dispatch_may_place(struct request *r, int64_t now)
 {
+	struct choice c = {.r = r, .now = now, .ignore_limits = true};
 	struct route_query q;
 	struct route_ep *rep;
 
-	fill_query(r, now, &q);
+	fill_query(&c, &q);
+	q.bytes = 0; /* of the spill budget */
 	return route_choose(r->entry->route, &q, now, &rep) != -MW_ENOENDPOINT;
 }
 
 /* Returns 0 if the request at the head was placed or failed. */
 static int place_head(struct entry *e, struct request *r, int64_t now)
 {
+	struct choice c = {.r = r, .now = now};
 	struct route_ep *rep;
 	struct route_query q;
 
 	if (dispatch_refuse_if_hopeless(r, now))
 		return 0;
-	fill_query(r, now, &q);
+	fill_query(&c, &q);
 	int err = route_choose(e->route, &q, now, &rep);
 	if (err == 0)
 		place_on_endpoint(r, rep, &q, now);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -134,7 +134,8 @@
 void request_leave_backlog(struct request *r);
 
 /* Forecasts the output length, given the tokens produced so far. */
-void request_forecast(struct request *r, int64_t now, struct est_forecast *out);
+void request_forecast(const struct request *r, int64_t now,
+		      struct est_forecast *out);
 
 /* Whether the request may run in the data centre; "": one that is not known. */
 bool request_may_run_in(const struct request *r, const char *dc);
@@ -164,7 +165,10 @@
 /* Refuses a request that has waited too long and is in no queue. */
 void dispatch_refuse_expired(struct request *r);
 
-/* Whether an endpoint may serve the request, be it that it has no room now. */
+/*
+ * Whether an endpoint may serve the request, be it that its room, its streams
+ * or the spill budget are used up now.
+ */
 bool dispatch_may_place(struct request *r, int64_t now);
 
 /* Places queued requests until each queue's head finds no endpoint. */
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -272,6 +272,43 @@
 }
 END_TEST
 
+/* Guards against the loss of its place to others that use a limit up. */
+START_TEST(test_keeps_place_at_limits)
+{
+	struct spill_reservation res = {0};
+	int64_t now = set_up();
+
+	lend("north1", "dc3", NORTH_ADDR);
+	set("endpoints/dc3/north1", "max_streams", "1");
+	struct request *placed = push("bound", now);
+	struct request *r = push("bound", now);
+	dispatch_pump(&e, now);
+	ck_assert_int_eq(placed->state, REQ_SENT);
+	ck_assert(r->in_queue && !r->aside);
+	set("endpoints/dc3/north1", "max_streams", "100");
+	spill_reserve(route_spill_budget(e.route), &res, 0, 1 << 21, now);
+	dispatch_pump(&e, now);
+	ck_assert(r->in_queue && !r->aside);
+	tear_down();
+}
+END_TEST
+
+/* Guards against a wait in the queue for a loan that has ended. */
+START_TEST(test_ended_loan)
+{
+	int64_t now = set_up();
+
+	add_endpoint("north1", "dc3", NORTH_ADDR, 1);
+	lend("south1", "dc2", SOUTH_ADDR);
+	struct request *bound = push("bound", now);
+	struct request *other = push("free", now);
+	dispatch_pump(&e, now + USEC_PER_SEC);
+	ck_assert(bound->aside);
+	ck_assert_str_eq(other->endpoint, "south1");
+	tear_down();
+}
+END_TEST
+
 /* Guards against a wait of a request that has since been found to crash. */
 START_TEST(test_poison_ends_wait)
 {
@@ -423,7 +460,8 @@
 END_TEST
 
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_age_after_return, test_poison_ends_wait, test_number_is_limited,
-	  test_without_lists, test_refused_at_once, test_reports_demand,
+	  test_age_after_return, test_keeps_place_at_limits, test_ended_loan,
+	  test_poison_ends_wait, test_number_is_limited, test_without_lists,
+	  test_refused_at_once, test_reports_demand,
 	  test_address_of_checked_row, test_address_of_cursor,
 	  test_address_of_call)
