entry: Keep restricted requests in the queue until they may spill

If the own data centre is evacuated, work goes to borrowed endpoints only after spill_after_ms. A restricted request was set aside for that time, although an endpoint in its regions was lent, and came back behind later ones of its account.

Measured: test_keeps_place_before_spill failed before and passes now.

--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -262,6 +262,7 @@
 
 	fill_query(&c, &q);
 	q.bytes = 0; /* of the spill budget */
+	q.waited_us = INT64_MAX;
 	return route_choose(r->entry->route, &q, now, &rep) != -MW_ENOENDPOINT;
 }
 
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -166,8 +166,8 @@
 void dispatch_refuse_expired(struct request *r);
 
 /*
- * Whether an endpoint may serve the request, be it that its room, its streams
- * or the spill budget are used up now.
+ * Whether an endpoint may serve the request, be it only later: when there is
+ * room, a stream or spill budget, or when it may go to other data centres.
  */
 bool dispatch_may_place(struct request *r, int64_t now);
 
--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -293,6 +293,21 @@
 }
 END_TEST
 
+/* Guards against the same while work may not yet go to other data centres. */
+START_TEST(test_keeps_place_before_spill)
+{
+	int64_t now = set_up();
+
+	add_endpoint("own1", "dc1", SOUTH_ADDR, 0);
+	lend("north1", "dc3", NORTH_ADDR);
+	set("dcs/dc1", "evacuated", "true");
+	struct request *r = push("bound", now);
+	dispatch_pump(&e, now);
+	ck_assert(r->in_queue && !r->aside);
+	tear_down();
+}
+END_TEST
+
 /* Guards against a wait in the queue for a loan that has ended. */
 START_TEST(test_ended_loan)
 {
@@ -460,8 +475,8 @@
 END_TEST
 
 RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_age_after_return, test_keeps_place_at_limits, test_ended_loan,
-	  test_poison_ends_wait, test_number_is_limited, test_without_lists,
-	  test_refused_at_once, test_reports_demand,
-	  test_address_of_checked_row, test_address_of_cursor,
-	  test_address_of_call)
+	  test_age_after_return, test_keeps_place_at_limits,
+	  test_keeps_place_before_spill, test_ended_loan, test_poison_ends_wait,
+	  test_number_is_limited, test_without_lists, test_refused_at_once,
+	  test_reports_demand, test_address_of_checked_row,
+	  test_address_of_cursor, test_address_of_call)
