--- a/tests/test_region_queue.c
+++ b/tests/test_region_queue.c
@@ -1,4 +1,3 @@
-#include "check_main.h"
 #include "state_util.h"
 
 #include "base/clock.h"
@@ -17,6 +16,7 @@
 
 static struct entry e;
 static struct conf conf;
+static int64_t now; /* time of the set-up */
 
 static void set(const char *path, const char *key, const char *value)
 {
@@ -39,8 +39,7 @@
 	set("routes/r", "model", "\"m\"");
 }
 
-/* Returns the present time. */
-static int64_t set_up(void)
+static void set_up(void)
 {
 	const struct route_tuning tuning = {.dc = "dc1"};
 	const struct spill_cfg spill = {.bytes_per_s = 1 << 20,
@@ -76,7 +75,7 @@
 	ev_timer_init(&e.pump_timer, NULL, 3600., 0.);
 	ev_timer_start(e.loop, &e.pump_timer);
 	set_up_tree();
-	return clock_mono_us();
+	now = clock_mono_us();
 }
 
 static void tear_down(void)
@@ -117,7 +116,7 @@
 	Mw__EndpointInfo info = MW__ENDPOINT_INFO__INIT;
 	Mw__SpillRow row = MW__SPILL_ROW__INIT, *rows = &row;
 	Mw__HubGrant grant = MW__HUB_GRANT__INIT;
-	int64_t now = clock_mono_us();
+	int64_t t = clock_mono_us();
 
 	info.id = (char *)id;
 	info.dc = (char *)dc;
@@ -135,9 +134,9 @@
 	grant.spill = &rows;
 	grant.n_spill = 1;
 	if (strcmp(dc, "dc1") != 0)
-		remote_apply_grant(&e, &grant, now, now);
+		remote_apply_grant(&e, &grant, t, t);
 	else
-		view_update(&e, &info, true, now);
+		view_update(&e, &info, true, t);
 }
 
 static void lend(const char *id, const char *dc, const char *addr)
@@ -162,8 +161,7 @@
 	route_upsert_endpoint(e.route, &older, 0);
 }
 
-static struct request *push_due(const char *account, int64_t arrived,
-				int64_t deadline)
+static struct request *push_due(const char *account, int64_t deadline)
 {
 	struct request *r = g_new0(struct request, 1);
 
@@ -183,16 +181,16 @@
 	r->queue_max = 1000;
 	r->queue_max_bytes = 1 << 24;
 	r->needs_loan = true;
-	r->arrived_us = arrived;
+	r->arrived_us = now;
 	r->deadline_us = deadline;
 	residence_admit(&r->residence, e.session.cfg.tree, account, "r");
 	request_enqueue(r, clock_mono_us());
 	return r;
 }
 
-static struct request *push(const char *account, int64_t arrived)
+static struct request *push(const char *account)
 {
-	return push_due(account, arrived, 0);
+	return push_due(account, 0);
 }
 
 static bool exists(const struct request *r)
@@ -211,13 +209,11 @@
  */
 START_TEST(test_passes_others)
 {
-	int64_t now = set_up();
-
 	lend("south1", "dc2", SOUTH_ADDR);
 	struct request *bound[5];
 	for (size_t i = 0; i < G_N_ELEMENTS(bound); i++)
-		bound[i] = push("bound", now);
-	struct request *other = push("free", now);
+		bound[i] = push("bound");
+	struct request *other = push("free");
 	dispatch_pump(&e, now);
 	ck_assert_int_eq(other->state, REQ_SENT);
 	ck_assert_str_eq(other->endpoint, "south1");
@@ -230,18 +226,15 @@
 	dispatch_pump(&e, clock_mono_us() + USEC_PER_SEC / 2);
 	for (size_t i = 0; i < G_N_ELEMENTS(bound); i++)
 		ck_assert_str_eq(bound[i]->endpoint, "north1");
-	tear_down();
 }
 END_TEST
 
 /* Guards against a wait beyond the time for a loan, and beyond a deadline. */
 START_TEST(test_wait_ends)
 {
-	int64_t now = set_up();
-
 	lend("south1", "dc2", SOUTH_ADDR);
-	struct request *first = push("bound", now);
-	struct request *due = push_due("bound", now, now + USEC_PER_SEC);
+	struct request *first = push("bound");
+	struct request *due = push_due("bound", now + USEC_PER_SEC);
 	dispatch_pump(&e, now);
 	ck_assert(exists(first) && exists(due));
 	dispatch_pump(&e, now + 3 * USEC_PER_SEC / 2);
@@ -249,16 +242,13 @@
 	dispatch_pump(&e, now + 4 * USEC_PER_SEC);
 	ck_assert(!exists(first));
 	ck_assert_uint_eq(g_hash_table_size(e.account_backlogs), 0);
-	tear_down();
 }
 END_TEST
 
 /* Guards against a wait for another age limit after a loan was given. */
 START_TEST(test_age_after_return)
 {
-	int64_t now = set_up();
-
-	struct request *r = push("bound", now);
+	struct request *r = push("bound");
 	int64_t until = (int64_t)r->item.expiry_node.key;
 	dispatch_pump(&e, now);
 	ck_assert(r->aside);
@@ -268,7 +258,6 @@
 	dispatch_pump(&e, now + USEC_PER_SEC);
 	ck_assert(r->in_queue && !r->aside);
 	ck_assert_int_eq((int64_t)r->item.expiry_node.key, until);
-	tear_down();
 }
 END_TEST
 
@@ -276,12 +265,10 @@
 START_TEST(test_keeps_place_at_limits)
 {
 	struct spill_reservation res = {0};
-	int64_t now = set_up();
-
 	lend("north1", "dc3", NORTH_ADDR);
 	set("endpoints/dc3/north1", "max_streams", "1");
-	struct request *placed = push("bound", now);
-	struct request *r = push("bound", now);
+	struct request *placed = push("bound");
+	struct request *r = push("bound");
 	dispatch_pump(&e, now);
 	ck_assert_int_eq(placed->state, REQ_SENT);
 	ck_assert(r->in_queue && !r->aside);
@@ -289,100 +276,81 @@
 	spill_reserve(route_spill_budget(e.route), &res, 0, 1 << 21, now);
 	dispatch_pump(&e, now);
 	ck_assert(r->in_queue && !r->aside);
-	tear_down();
 }
 END_TEST
 
 /* Guards against the same while work may not yet go to other data centres. */
 START_TEST(test_keeps_place_before_spill)
 {
-	int64_t now = set_up();
-
 	add_endpoint("own1", "dc1", SOUTH_ADDR, 0);
 	lend("north1", "dc3", NORTH_ADDR);
 	set("dcs/dc1", "evacuated", "true");
-	struct request *r = push("bound", now);
+	struct request *r = push("bound");
 	dispatch_pump(&e, now);
 	ck_assert(r->in_queue && !r->aside);
-	tear_down();
 }
 END_TEST
 
 /* Guards against a wait in the queue for a loan that has ended. */
 START_TEST(test_ended_loan)
 {
-	int64_t now = set_up();
-
 	add_endpoint("north1", "dc3", NORTH_ADDR, 1);
 	lend("south1", "dc2", SOUTH_ADDR);
-	struct request *bound = push("bound", now);
-	struct request *other = push("free", now);
+	struct request *bound = push("bound");
+	struct request *other = push("free");
 	dispatch_pump(&e, now + USEC_PER_SEC);
 	ck_assert(bound->aside);
 	ck_assert_str_eq(other->endpoint, "south1");
-	tear_down();
 }
 END_TEST
 
 /* Guards against a wait of a request that has since been found to crash. */
 START_TEST(test_poison_ends_wait)
 {
-	int64_t now = set_up();
-
-	struct request *r = push("bound", now);
+	struct request *r = push("bound");
 	dispatch_pump(&e, now);
 	ck_assert(r->aside);
 	suspect_add_from_log(e.suspects, "bound", "bound", SUSPECT_DEATHS, NULL,
 			     0, now);
 	dispatch_pump(&e, now + USEC_PER_SEC);
 	ck_assert(!exists(r));
-	tear_down();
 }
 END_TEST
 
 /* Guards against waiting requests without a limit on their number. */
 START_TEST(test_number_is_limited)
 {
-	int64_t now = set_up();
-
 	for (size_t i = 0; i < ASIDE_MAX + 1; i++) {
-		push("bound", now);
+		push("bound");
 		dispatch_pump(&e, now);
 	}
 	struct pool *p = entry_get_pool(&e, "m");
 	ck_assert_uint_eq(aside_count(p, 0, NULL), ASIDE_MAX);
 	ck_assert_uint_eq(e.open_requests, ASIDE_MAX);
-	tear_down();
 }
 END_TEST
 
 /* Guards against a change for requests without lists. */
 START_TEST(test_without_lists)
 {
-	int64_t now = set_up();
-
-	struct request *first = push("free", now);
+	struct request *first = push("free");
 	set("dcs/dc2", "evacuated", "true");
 	set("dcs/dc3", "evacuated", "true");
 	dispatch_pump(&e, now);
 	ck_assert(first->in_queue && !first->aside);
 	ck_assert_ptr_eq(queue_fair.peek(first->pool->queue, now),
 			 &first->item);
-	tear_down();
 }
 END_TEST
 
 /* Guards against a wait for a loan that no data centre may give. */
 START_TEST(test_refused_at_once)
 {
-	int64_t now = set_up();
-
 	set("dcs/dc3", "region", "\"south\"");
-	struct request *bound = push("bound", now);
-	struct request *other = push("free", now);
+	struct request *bound = push("bound");
+	struct request *other = push("free");
 	dispatch_pump(&e, now);
 	ck_assert(!exists(bound) && exists(other));
-	tear_down();
 }
 END_TEST
 
@@ -390,12 +358,10 @@
 START_TEST(test_reports_demand)
 {
 	Mw__HubReport report = MW__HUB_REPORT__INIT;
-	int64_t now = set_up();
-
 	set("dcs/dc1", "spill_bytes_per_s", "1000000");
 	set("dcs/dc1", "spill_burst_bytes", "1000000");
-	push("bound", now);
-	push("bound", now);
+	push("bound");
+	push("bound");
 	dispatch_pump(&e, now);
 	remote_fill_report(&e, &report, now + 10 * USEC_PER_SEC);
 	ck_assert_uint_eq(report.n_spill, 1);
@@ -403,7 +369,6 @@
 	for (size_t i = 0; i < report.n_spill; i++)
 		mw__demand__free_unpacked(report.spill[i], NULL);
 	free(report.spill);
-	tear_down();
 }
 END_TEST
 
@@ -413,12 +378,10 @@
  */
 START_TEST(test_address_of_checked_row)
 {
-	int64_t now = set_up();
-
 	lend("north1", "dc3", NORTH_ADDR);
 	upsert_older_row("north1", "dc2");
-	struct request *bound = push("bound", now);
-	struct request *other = push("free", now);
+	struct request *bound = push("bound");
+	struct request *other = push("free");
 	dispatch_pump(&e, now);
 	ck_assert_int_eq(bound->state, REQ_QUEUED);
 	ck_assert_str_eq(bound->addr, "");
@@ -427,7 +390,6 @@
 	lend("north1", "dc3", NORTH_ADDR);
 	dispatch_pump(&e, clock_mono_us() + USEC_PER_SEC / 2);
 	ck_assert_str_eq(bound->addr, NORTH_ADDR);
-	tear_down();
 }
 END_TEST
 
@@ -439,7 +401,6 @@
 {
 	struct request r = {.entry = &e, .account = "bound", .route = "r"};
 
-	set_up();
 	lend("north1", "dc3", NORTH_ADDR);
 	const struct endpoint *ep = view_find(&e, "north1");
 	ck_assert(request_may_send(&r, ep, NORTH_ADDR));
@@ -448,7 +409,6 @@
 	strcpy(r.account, "free");
 	ck_assert(request_may_send(&r, ep, SOUTH_ADDR));
 	ck_assert(request_may_send(&r, NULL, SOUTH_ADDR));
-	tear_down();
 }
 END_TEST
 
@@ -457,7 +417,6 @@
 {
 	struct call *c = g_new0(struct call, 1);
 
-	set_up();
 	lend("s1", "dc1", NORTH_ADDR);
 	upsert_older_row("s1", "dc1");
 	c->entry = &e;
@@ -470,13 +429,36 @@
 	call_send(c);
 	/* It failed, as there is no other endpoint and no retry. */
 	ck_assert(list_empty(&e.calls));
-	tear_down();
 }
 END_TEST
 
-RUN_TESTS("region_queue", test_passes_others, test_wait_ends,
-	  test_age_after_return, test_keeps_place_at_limits,
-	  test_keeps_place_before_spill, test_ended_loan, test_poison_ends_wait,
-	  test_number_is_limited, test_without_lists, test_refused_at_once,
-	  test_reports_demand, test_address_of_checked_row,
-	  test_address_of_cursor, test_address_of_call)
+int main(void)
+{
+	const TTest *const tests[] = {test_passes_others,
+				      test_wait_ends,
+				      test_age_after_return,
+				      test_keeps_place_at_limits,
+				      test_keeps_place_before_spill,
+				      test_ended_loan,
+				      test_poison_ends_wait,
+				      test_number_is_limited,
+				      test_without_lists,
+				      test_refused_at_once,
+				      test_reports_demand,
+				      test_address_of_checked_row,
+				      test_address_of_cursor,
+				      test_address_of_call};
+	Suite *s = suite_create("region_queue");
+	TCase *tc = tcase_create("region_queue");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+		tcase_add_test(tc, tests[i]);
+	suite_add_tcase(s, tc);
+	SRunner *sr = srunner_create(s);
+	srunner_set_fork_status(sr, CK_NOFORK);
+	srunner_run_all(sr, CK_ENV);
+	int failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
