--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -134,7 +134,8 @@
 void request_leave_backlog(struct request *r);
 
 /* Forecasts the output length, given the tokens produced so far. */
-void request_forecast(struct request *r, int64_t now, struct est_forecast *out);
+void request_forecast(const struct request *r, int64_t now,
+		      struct est_forecast *out);
 
 /* Whether the request may run in the data centre; "": one that is not known. */
 bool request_may_run_in(const struct request *r, const char *dc);
@@ -153,7 +154,8 @@
 /* ---- dispatch.c ---- */
 
 /*
- * Refuses a request that need not wait and returns true: its lists have changed
+ * Refuses a request that need not wait and returns true: it has been found to
+ * crash endpoints, its lists have changed
  * so that this data centre is not allowed, or it needs a loan and no data
  * centre that may lend is in its regions, or all endpoints of its model are
  * evacuated and none can be borrowed.
@@ -163,7 +165,10 @@
 /* Refuses a request that has waited too long and is in no queue. */
 void dispatch_refuse_expired(struct request *r);
 
-/* Whether an endpoint may serve the request, be it that it has no room now. */
+/*
+ * Whether an endpoint may serve the request, be it only later: when there is
+ * room, a stream or spill budget, or when it may go to other data centres.
+ */
 bool dispatch_may_place(struct request *r, int64_t now);
 
 /* Places queued requests until each queue's head finds no endpoint. */
