httpd: Shed others once only for the same socket bytes

Bytes in the socket of a request in work that were refused are tried again every 0.25 s since. Each attempt shed all connections that arrive or are being answered before it was refused, so that one client that pipelines bytes closed those of others for as long as memory was short.

The same number of refused bytes is now counted only once there is room for it without shedding others (membudget_has_room()). The shedding order is unchanged.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -148,10 +148,11 @@
 	int fd;
 	struct tcp_conn *tcp;
 	struct membudget_holder mem;
-	size_t reply_bytes;  /* of a complete answer */
-	size_t kept_bytes;   /* by the owner, see httpd_keep() */
-	size_t queued_bytes; /* in the socket, when last looked at */
-	size_t max_body;     /* in force when its headers were complete */
+	size_t reply_bytes;   /* of a complete answer */
+	size_t kept_bytes;    /* by the owner, see httpd_keep() */
+	size_t queued_bytes;  /* in the socket, as counted */
+	size_t refused_bytes; /* in the socket, when last refused */
+	size_t max_body;      /* in force when its headers were complete */
 	ev_io close_watch;
 	enum req_state state;
 	enum httpd_closer closer; /* in REQ_CLOSED */
@@ -820,9 +821,12 @@
 	}
 }
 
-/* Counts what the sockets of requests hold besides.  A request in work is not
+/*
+ * Counts what the sockets of requests hold besides.  A request in work is not
  * shed for it: its next event would be, were the refused bytes to stay in its
- * sum. */
+ * sum.  The same bytes do not shed others a second time, as the attempt is
+ * repeated in each round.
+ */
 static void count_sockets(struct httpd *h)
 {
 	struct httpd_req *req;
@@ -831,15 +835,20 @@
 		if (req->shed || req->state == REQ_CLOSED)
 			continue;
 		size_t n = sockbuf_queued(req->fd), before = req->queued_bytes;
-		if (n == before)
+		if (n == before || (n == req->refused_bytes && n > before &&
+				    req->mem.kind == MEMBUDGET_HELD &&
+				    !membudget_has_room(&req->mem, n - before)))
 			continue;
 		req->queued_bytes = n;
+		req->refused_bytes = 0;
 		if (update_memory(req))
 			continue;
-		if (req->mem.kind != MEMBUDGET_HELD)
+		if (req->mem.kind != MEMBUDGET_HELD) {
 			on_req_shed(req);
-		else
-			req->queued_bytes = before; /* until there is room */
+			continue;
+		}
+		req->queued_bytes = before; /* until there is room */
+		req->refused_bytes = n;
 	}
 }
 
--- a/src/policy/membudget.c
+++ b/src/policy/membudget.c
@@ -182,6 +182,21 @@
 	return victim;
 }
 
+/* What may be in use with a holder of this size. */
+static size_t use_limit(const struct membudget *b, size_t bytes)
+{
+	if (bytes <= MEMBUDGET_SMALL_BYTES)
+		return b->capacity;
+	return b->capacity - b->capacity / 8;
+}
+
+bool membudget_has_room(const struct membudget_holder *h, size_t more)
+{
+	const struct membudget *b = h->budget;
+
+	return !b || b->used + more <= use_limit(b, h->bytes + more);
+}
+
 bool membudget_set(struct membudget_holder *h, size_t bytes, int64_t now)
 {
 	struct membudget *b = h->budget;
@@ -191,9 +206,7 @@
 		return true;
 	if (h->leaving)
 		return false;
-	size_t limit = b->capacity;
-	if (bytes > MEMBUDGET_SMALL_BYTES)
-		limit -= limit / 8;
+	size_t limit = use_limit(b, bytes);
 	count(h, bytes);
 	if (bytes <= before)
 		return true;
--- a/src/policy/membudget.h
+++ b/src/policy/membudget.h
@@ -96,6 +96,9 @@
  */
 bool membudget_set(struct membudget_holder *h, size_t bytes, int64_t now);
 
+/* Whether a holder can have so many bytes more without shedding others. */
+bool membudget_has_room(const struct membudget_holder *h, size_t more);
+
 /* Changes the kind and begins a new measurement of its progress. */
 void membudget_set_kind(struct membudget_holder *h, enum membudget_kind kind,
 			int64_t now);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -775,11 +775,18 @@
 }
 END_TEST
 
+static void ignore_shed(void *arg)
+{
+	(void)arg;
+}
+
 /* Guards against a stream in work that ends at its next event, for which there
- * is room, as its socket holds bytes for which there was none. */
+ * is room, as its socket holds bytes for which there was none, and against
+ * other connections that are closed at each new attempt to count these. */
 START_TEST(test_refused_socket_bytes)
 {
 	static char pipelined[40000];
+	struct membudget_holder other = {.shed = ignore_shed};
 	struct membudget budget;
 	int fd;
 
@@ -797,10 +804,13 @@
 	RUN_UNTIL(clock_mono_us() - start_us > 600 * USEC_PER_MSEC);
 	ck_assert_uint_eq(budget.used, used);
 	ck_assert_int_gt(httpd_stream_write(open_req, "event", 5), 0);
-	ck_assert_uint_eq(budget.shed, 0);
 	start_us = clock_mono_us();
+	membudget_add(&budget, &other, MEMBUDGET_ARRIVING, 0, start_us);
+	ck_assert(membudget_set(&other, 5000, start_us));
 	RUN_UNTIL(clock_mono_us() - start_us > 600 * USEC_PER_MSEC);
+	ck_assert_uint_eq(budget.shed, 0);
 	ck_assert_int_eq(closed, 0);
+	membudget_remove(&other);
 	/* They count once there is room. */
 	budget.capacity = 10000000;
 	RUN_UNTIL(budget.used > used + 20000);
