evacuate: Log no late order as lost that the next leader may commit

An order whose operator had the answer "not known" was logged with the outcome "lost" also if its leader was lost after the append. The next leader may still commit it, so the log told operators that it had not taken effect while it may have.

test_answer_while_nothing_commits failed with "lost" first; it now checks the logged outcome of an order that commits late, too.

--- a/src/control/ctl_evacuate.c
+++ b/src/control/ctl_evacuate.c
@@ -340,6 +340,19 @@
 	call_retry(call, now);
 }
 
+/* Logs the outcome of an order whose operator has its answer already. */
+static void log_late_outcome(const struct evacuation_call *call, int err,
+			     const Mw__Result *r, int64_t now)
+{
+	const char *outcome = "lost";
+
+	if (err == -MW_EUNKNOWN) /* the next leader may still commit it */
+		outcome = err_info(err)->kind;
+	else if (err == 0 && r->err == 0)
+		outcome = "late";
+	call_log(call, outcome, now);
+}
+
 /* The outcome of an order on this process, which leads. */
 static void on_own_order(int err, const Mw__Result *r, void *ctx)
 {
@@ -348,7 +361,7 @@
 
 	call->own_order = false;
 	if (call->answered) {
-		call_log(call, err == 0 && r->err == 0 ? "late" : "lost", now);
+		log_late_outcome(call, err, r, now);
 		call_free(call);
 		return;
 	}
--- a/tests/test_evacuate.c
+++ b/tests/test_evacuate.c
@@ -4,9 +4,11 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "base/err.h"
 #include "control/ctl_evacuate.h"
 #include "control/ctl_feed.h"
 #include "control/lease.h"
+#include "obs/slog.h"
 
 /*
  * Orders to evacuate a data centre on three control processes: the real
@@ -84,8 +86,36 @@
 /* Uncommitted entry of the former leader, until there is another one. */
 static GBytes *orphan;
 
+/* In the newest log line that has one. */
+static char last_outcome[32];
+
 /* ---- fakes ---- */
 
+struct slog slog_begin(const char *kind)
+{
+	(void)kind;
+	return (struct slog){0};
+}
+
+void slog_str(struct slog *l, const char *key, const char *value)
+{
+	(void)l;
+	if (!strcmp(key, "outcome"))
+		g_strlcpy(last_outcome, value, sizeof(last_outcome));
+}
+
+void slog_int(struct slog *l, const char *key, int64_t value)
+{
+	(void)l;
+	(void)key;
+	(void)value;
+}
+
+void slog_end(struct slog *l)
+{
+	(void)l;
+}
+
 int64_t clock_mono_us(void)
 {
 	return sim_now + procs[current].offset_us;
@@ -769,9 +799,18 @@
 	procs[0].stalled = false;
 	ck_assert_int_eq(status_after(id, 3 * USEC_PER_SEC), 0);
 	ck_assert(log_says_evacuated());
+	ck_assert_str_eq(last_outcome, "late");
 	id = send_order(0, true);
 	ck_assert_int_eq(status_after(id, 500 * MS), 200);
 	ck_assert_uint_eq(log_entries->len, 1);
+	/* The next leader may still commit an entry of this one. */
+	procs[0].stalled = true;
+	send_order(0, false);
+	run_for(PATIENCE_US);
+	*last_outcome = 0;
+	end_leading(0);
+	ck_assert_str_eq(last_outcome, err_info(-MW_EUNKNOWN)->kind);
+	elect(0, true);
 	/* The process may end while a late outcome is open. */
 	procs[0].stalled = true;
 	send_order(0, false);
