--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "entry/aside.h"
 #include "obs/stats.h"
 
 /* Bytes between two prefix hashes; see docs/endpoint-protocol.md. */
@@ -116,6 +117,7 @@
 	else if (r->in_queue)
 		e->queue_ops->finish(r->pool->queue, &r->item,
 				     (uint32_t)r->next_index, clock_mono_us());
+	aside_drop(r);
 	ev_timer_stop(e->loop, &r->timer);
 	list_del(&r->node);
 	e->open_requests--;
@@ -143,8 +145,12 @@
 	AUTO_BUF struct buf b = BUF_INIT;
 
 	buf_addf(&b, "event: error\ndata: %s\n\n", text ? text : "{}");
-	if (httpd_stream_write(r->http, buf_head(&b), buf_unread(&b)) < 0) {
-		/* The caller's stream buffer is full: close the connection. */
+	if (buf_unread(&r->unsent_output) ||
+	    httpd_stream_write(r->http, buf_head(&b), buf_unread(&b)) < 0) {
+		/*
+		 * The caller's stream buffer is full, or tokens wait that the
+		 * event would overtake: close the connection.
+		 */
 		httpd_abort(r->http);
 	} else {
 		httpd_stream_end(r->http);
@@ -183,29 +189,8 @@
 
 static void on_drained(void *arg, struct httpd_req *http)
 {
-	struct request *r = arg;
-
-	if (buf_unread(&r->unsent_output)) {
-		ssize_t n =
-			httpd_stream_write(http, buf_head(&r->unsent_output),
-					   buf_unread(&r->unsent_output));
-		if (n < 0)
-			return;
-		buf_consume(&r->unsent_output, buf_unread(&r->unsent_output));
-		httpd_keep(http, 0);
-	}
-	if (r->finished) {
-		httpd_stream_end(http);
-		r->http = NULL;
-		request_end(r);
-		return;
-	}
-	if (r->paused && r->fetch) {
-		r->paused = false;
-		fetch_resume(r->fetch);
-		if (r->rs.ep)
-			route_stream_set_paused(&r->rs, false, clock_mono_us());
-	}
+	(void)http;
+	stream_drained(arg);
 }
 
 static void on_resume_window_expired(struct ev_loop *loop, ev_timer *w,
@@ -332,6 +317,23 @@
 	return residence_allows(&s, r->entry->session.cfg.tree, dc);
 }
 
+bool request_is_restricted(const struct request *r)
+{
+	struct residence_subject s = {&r->residence, r->account, r->route};
+
+	return residence_is_restricted(&s, r->entry->session.cfg.tree);
+}
+
+bool request_may_send(const struct request *r, const struct endpoint *ep,
+		      const char *addr)
+{
+	struct residence_subject s = {&r->residence, r->account, r->route};
+
+	return residence_allows_send(&s, r->entry->session.cfg.tree,
+				     ep ? ep->dc : "", ep ? ep->addr : "",
+				     addr);
+}
+
 /* Index of a rank, 0 being the most urgent; the last one for other names. */
 static unsigned int rank_index(struct tree *t, const char *name)
 {
@@ -452,6 +454,10 @@
 	r->needs_loan = !view_has_endpoint_for(e, r->model);
 	if (r->needs_loan && !remote_can_borrow(e, now))
 		return -MW_ENOENDPOINT;
+	if (r->needs_loan && !remote_has_lender_for(r)) {
+		*detail = ENTRY_NO_LENDER_TEXT;
+		return -MW_EREGIONDOWN;
+	}
 	return limit_admit_request(e->limits, r->account, &r->rates, now,
 				   retry_after_s);
 }
@@ -565,7 +571,8 @@
 	/* Every local endpoint has a row, so one without is remote. */
 	const struct endpoint *ep = view_find(e, r->endpoint);
 	const char *dc = ep ? ep->dc : "";
-	if (!request_may_run_in(r, e->conf->dc) || !request_may_run_in(r, dc)) {
+	if (!request_may_run_in(r, e->conf->dc) ||
+	    !request_may_send(r, ep, r->addr)) {
 		request_fail(r, -MW_EREGIONDOWN,
 			     "the stream may not be resumed here", 0);
 		return;
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -63,10 +63,13 @@
 	/* Queueing. */
 	struct pool *pool;
 	struct queue_item item;
-	bool in_backlog; /* counted in struct account_backlog */
-	bool in_queue;	 /* the queue holds the item */
-	bool dispatched; /* the item is dispatched, not waiting */
-	ev_timer timer;	 /* backoff, resume window */
+	struct list aside_node; /* pool.aside, if aside; see aside.h */
+	bool aside;
+	int64_t aside_until_us; /* end of its wait there; 0: never aside */
+	bool in_backlog;	/* counted in struct account_backlog */
+	bool in_queue;		/* the queue holds the item */
+	bool dispatched;	/* the item is dispatched, not waiting */
+	ev_timer timer;		/* backoff, resume window */
 
 	/* Placement. */
 	char endpoint[EP_ID_CHARS + 1];
@@ -131,13 +134,43 @@
 void request_leave_backlog(struct request *r);
 
 /* Forecasts the output length, given the tokens produced so far. */
-void request_forecast(struct request *r, int64_t now, struct est_forecast *out);
+void request_forecast(const struct request *r, int64_t now,
+		      struct est_forecast *out);
 
 /* Whether the request may run in the data centre; "": one that is not known. */
 bool request_may_run_in(const struct request *r, const char *dc);
 
+/* Whether any list of regions applies to the request. */
+bool request_is_restricted(const struct request *r);
+
+/*
+ * Whether the request may be sent to addr, the address known for the endpoint
+ * with the row ep; NULL: the endpoint has none.  A restricted request goes only
+ * to the address in the row, as the row tells the region.
+ */
+bool request_may_send(const struct request *r, const struct endpoint *ep,
+		      const char *addr);
+
 /* ---- dispatch.c ---- */
 
+/*
+ * Refuses a request that need not wait and returns true: it has been found to
+ * crash endpoints, its lists have changed
+ * so that this data centre is not allowed, or it needs a loan and no data
+ * centre that may lend is in its regions, or all endpoints of its model are
+ * evacuated and none can be borrowed.
+ */
+bool dispatch_refuse_if_hopeless(struct request *r, int64_t now);
+
+/* Refuses a request that has waited too long and is in no queue. */
+void dispatch_refuse_expired(struct request *r);
+
+/*
+ * Whether an endpoint may serve the request, be it only later: when there is
+ * room, a stream or spill budget, or when it may go to other data centres.
+ */
+bool dispatch_may_place(struct request *r, int64_t now);
+
 /* Places queued requests until each queue's head finds no endpoint. */
 void dispatch_pump(struct entry *e, int64_t now);
 
@@ -163,6 +196,10 @@
 /* Submits the generation, or resumes it from next_index. */
 void stream_open(struct request *r, bool resume);
 
+/* The caller's stream has room again: passes on what waits, and then ends the
+ * request if it has finished, or reads on from the endpoint. */
+void stream_drained(struct request *r);
+
 /* Closes the connection to the endpoint; the generation itself goes on. */
 void stream_close(struct request *r);
 
--- a/src/forward/place.c
+++ b/src/forward/place.c
@@ -158,7 +158,7 @@
 static int64_t placement_cost(const struct place_target *t,
 			      const struct place_request *request)
 {
-	int64_t us = 0;
+	int64_t us = t->failure_cost_us;
 
 	if (!request->generation) {
 		/* Requests beyond the slots wait until a slot is free. */
--- a/src/forward/relay.c
+++ b/src/forward/relay.c
@@ -55,17 +55,21 @@
 }
 
 /*
- * Sends bytes to the caller.  If its buffer is full, keeps them until
- * relay_drained() and pauses the transfer from the endpoint.
+ * Sends bytes to the caller.  Keeps what its buffer has no room for until
+ * relay_drained(), and pauses the transfer from the endpoint.
  */
 static void write_to_caller(struct request *r, const char *p, size_t n)
 {
-	if (buf_unread(&r->unsent_events) ||
-	    httpd_stream_write(r->http, p, n) < 0) {
-		buf_add(&r->unsent_events, p, n);
-		if (r->fetch)
-			fetch_pause(r->fetch);
-	}
+	bool waits = buf_unread(&r->unsent_events);
+
+	if (!waits && httpd_stream_write(r->http, p, n) >= 0)
+		return;
+	buf_add(&r->unsent_events, p, n);
+	/* An empty buffer, which has no room for large parts, never drains. */
+	if (!waits)
+		httpd_stream_write_kept(r->http, &r->unsent_events);
+	if (r->fetch)
+		fetch_pause(r->fetch);
 }
 
 bool relay_count_kept(struct request *r)
@@ -86,8 +90,8 @@
  */
 static void end_without_room(struct request *r, int64_t now)
 {
-	if (!buf_unread(&r->unsent_events) && list_empty(&r->delayed) &&
-	    !relay_event_is_cut(r)) {
+	if (!httpd_is_shed(r->http) && !buf_unread(&r->unsent_events) &&
+	    list_empty(&r->delayed) && !relay_event_is_cut(r)) {
 		relay_drop_part(r);
 		if (request_continue(r, "no memory for its events", now))
 			return;
@@ -245,6 +249,9 @@
 
 void relay_data(struct request *r, const char *p, size_t n, int64_t now)
 {
+	/* The request ends as soon as its connection is seen to be closed. */
+	if (httpd_is_shed(r->http))
+		return;
 	while (n) {
 		bool whole;
 		size_t len = event_scan_feed(&r->scan, p, n, &whole);
@@ -297,16 +304,20 @@
 			 int64_t now)
 {
 	struct fwd_endpoint *ep = endpoints_find(r->fwd, r->endpoint_id);
+	bool shed = httpd_is_shed(r->http);
 
 	/* A server that crashes may close its connections in order. */
 	if (complete && r->answer.unframed && !r->events) {
 		complete = false;
 		why = "closed before the first event";
 	}
+	/* The caller has not got all, and the scan may lack events. */
+	if (complete && shed)
+		return;
 	if (complete && !event_scan_is_inside(&r->scan)) {
 		r->stream_ended = true;
 		relay_tick(r, INT64_MAX);
-		if (!buf_unread(&r->unsent_events))
+		if (!buf_unread(&r->unsent_events) && !httpd_is_shed(r->http))
 			finish_stream(r, now);
 		return;
 	}
@@ -322,20 +333,21 @@
 	if (ep && ep->incarnation == r->incarnation)
 		endpoints_record_failure(r->fwd, ep, now);
 	crashes_attempt_broken(r, now);
+	if (shed)
+		return; /* on_closed() ends it */
 	if (event_is_cut || !request_continue(r, why, now))
 		relay_abort(r, why, now);
 }
 
 void relay_drained(struct request *r, int64_t now)
 {
-	size_t n = buf_unread(&r->unsent_events);
-
-	if (n) {
-		if (httpd_stream_write(r->http, buf_head(&r->unsent_events),
-				       n) < 0)
-			return;
-		buf_consume(&r->unsent_events, n);
+	if (httpd_is_shed(r->http))
+		return;
+	if (buf_unread(&r->unsent_events)) {
+		bool all = httpd_stream_write_kept(r->http, &r->unsent_events);
 		relay_count_kept(r);
+		if (!all)
+			return;
 	}
 	if (r->stream_ended)
 		finish_stream(r, now);
--- a/src/forward/request.h
+++ b/src/forward/request.h
@@ -18,9 +18,6 @@
  *   continued by another run, after the last whole event that was passed on.
  */
 
-/* A request is not sent to an endpoint with less time than this left. */
-#define REQUEST_LEFT_MIN_US (10 * USEC_PER_MSEC)
-
 enum request_state {
 	REQUEST_UNADMITTED, /* waits for the first plan */
 	REQUEST_WAITING,    /* for an endpoint with room */
@@ -113,6 +110,8 @@
 	int64_t sent_us;     /* last attempt, moves not counted */
 	unsigned int attempts;
 	unsigned int failed_deliveries; /* attempts that reached no endpoint */
+	GPtrArray *unreached;  /* ids of the endpoints of these; NULL: none */
+	int64_t not_before_us; /* it waits until then; see repeat.h */
 	bool may_have_run;
 	bool held;		 /* waits as it is suspected (policy/blame.h) */
 	bool trial;		 /* placed as a trial, not delivered yet */
@@ -178,8 +177,9 @@
 
 /*
  * Chooses an endpoint with room for the request; NULL if there is none.  The
- * endpoint with the id except_id is left out, and near ones are preferred, as
- * seen from the data centre near_dc.  *any_usable tells whether an endpoint is
+ * endpoint with the id except_id, and those that its attempts did not reach,
+ * are left out, or none if except_id is "".  Near ones are preferred, as seen
+ * from the data centre near_dc.  *any_usable tells whether an endpoint is
  * usable at all.  For a request that is being moved it chooses the target.
  */
 struct fwd_endpoint *request_choose_endpoint(struct request *r,
@@ -194,6 +194,10 @@
  */
 bool request_any_usable(struct request *r, int64_t *back_us, int64_t now);
 
+/* Whether an endpoint that the request's attempts did not fail to reach may get
+ * it now. */
+bool request_any_untried(struct request *r, int64_t now);
+
 /* Whether the request may be at the endpoint at all, whatever the endpoint's
  * present state. */
 bool request_is_permitted(struct request *r, const struct fwd_endpoint *ep);
@@ -256,7 +260,7 @@
 void relay_data(struct request *r, const char *p, size_t n, int64_t now);
 /*
  * The endpoint's answer has ended; why is logged if it is not complete.  May
- * free the request.
+ * free the request.  One whose connection was shed ends with the connection.
  */
 void relay_endpoint_done(struct request *r, bool complete, const char *why,
 			 int64_t now);
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -66,6 +66,9 @@
 	"Bytes of bodies exchanged with endpoints of other data centres.")
 COUNTER(SPILL_REQUESTS, "mustardwall_spill_requests_total", "requests", "rank",
 	"Generations that were sent to another data centre.")
+COUNTER(LOAN_WAITS, "mustardwall_region_loan_waits_total", "requests", "rank",
+	"Generations with allowed regions that waited for a loan outside their "
+	"queue.")
 COUNTER(DC_REQUESTS, "mustardwall_dc_requests_total", "requests", "distance",
 	"Forwarded requests by the distance of their endpoint: same_dc, "
 	"same_region or other_region.")
@@ -81,6 +84,8 @@
 	"Forwarded requests that were refused, by error kind.")
 COUNTER(REPEATS, "mustardwall_repeats_total", "requests", NULL,
 	"Forwarded requests that were sent to another endpoint.")
+COUNTER(UNREACHED, "mustardwall_unreached_total", "attempts", NULL,
+	"Attempts of forwarded requests that reached no endpoint.")
 COUNTER(MOVES, "mustardwall_moves_total", "steps", "outcome",
 	"Steps of moving generations to other endpoints, by outcome.")
 COUNTER(RESIDENCY, "mustardwall_residency_blocked_total", "requests", "reason",
@@ -98,6 +103,10 @@
 	"Endpoints that turned cold, by what this host learned it from.")
 COUNTER(COLD_SENT, "mustardwall_cold_sent_total", "requests", NULL,
 	"Requests and copies of generations that were sent to cold endpoints.")
+COUNTER(ENDPOINTS_FAILING, "mustardwall_endpoints_failing_total", "endpoints",
+	"requests",
+	"Endpoints that began to fail more requests than others of their "
+	"service: a part or most of them.")
 GAUGE(ENDPOINTS_PACE, "mustardwall_endpoints_pace", "endpoints", "pace",
       "Model endpoints with a known speed: slow, alike or fast.")
 GAUGE(PACE_WORST, "mustardwall_endpoint_pace_worst_percent", "percent", NULL,
