--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -46,6 +46,7 @@
 	int64_t started_us;
 	int64_t last_totals_us;
 	unsigned int totals_receivers; /* hosts that got the last totals */
+	size_t totals_rows;	       /* in all messages of the last totals */
 	int64_t last_expire_us;
 	uint64_t crash_version; /* of the crash marks that were sent last */
 	int64_t crash_sent_us;
@@ -573,6 +574,7 @@
 {
 	f->last_totals_us = now;
 	f->totals_receivers = 0;
+	f->totals_rows = 0;
 	use_update_sums(f->use, now);
 	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p)) {
 		Mw__Frame frame = MW__FRAME__INIT;
@@ -584,6 +586,7 @@
 		frame.use_totals =
 			use_totals_new(f->use, peer_hello(p)->host, now);
 		peer_send(p, &frame);
+		f->totals_rows += frame.use_totals->n_rows;
 		use_totals_free(frame.use_totals);
 		f->totals_receivers++;
 	}
@@ -594,7 +597,8 @@
 	send_changed_crash_marks(f, now);
 	if (use_has_changes(f->use) &&
 	    now - f->last_totals_us >=
-		    usage_totals_interval_us(f->totals_receivers))
+		    usage_totals_interval_us(f->totals_receivers,
+					     f->totals_rows))
 		send_totals(f, now);
 }
 
@@ -607,7 +611,9 @@
 void ctl_feed_tick(struct ctl_feed *f, int64_t now)
 {
 	send_changed_crash_marks(f, now);
-	if (now - f->last_totals_us >= TOTALS_MAX_INTERVAL_US)
+	if (now - f->last_totals_us >=
+	    MAX(TOTALS_MAX_INTERVAL_US,
+		usage_totals_interval_us(f->totals_receivers, f->totals_rows)))
 		send_totals(f, now);
 	if (now - f->last_expire_us >= EXPIRE_INTERVAL_US) {
 		f->last_expire_us = now;
