--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -46,7 +46,6 @@
 	int64_t started_us;
 	int64_t last_totals_us;
 	unsigned int totals_receivers; /* hosts that got the last totals */
-	size_t totals_rows;	       /* in all messages of the last totals */
 	int64_t last_expire_us;
 	uint64_t crash_version; /* of the crash marks that were sent last */
 	int64_t crash_sent_us;
@@ -574,7 +573,6 @@
 {
 	f->last_totals_us = now;
 	f->totals_receivers = 0;
-	f->totals_rows = 0;
 	use_update_sums(f->use, now);
 	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p)) {
 		Mw__Frame frame = MW__FRAME__INIT;
@@ -586,7 +584,6 @@
 		frame.use_totals =
 			use_totals_new(f->use, peer_hello(p)->host, now);
 		peer_send(p, &frame);
-		f->totals_rows += frame.use_totals->n_rows;
 		use_totals_free(frame.use_totals);
 		f->totals_receivers++;
 	}
@@ -597,8 +594,7 @@
 	send_changed_crash_marks(f, now);
 	if (use_has_changes(f->use) &&
 	    now - f->last_totals_us >=
-		    usage_totals_interval_us(f->totals_receivers,
-					     f->totals_rows))
+		    usage_totals_interval_us(f->totals_receivers))
 		send_totals(f, now);
 }
 
@@ -611,9 +607,7 @@
 void ctl_feed_tick(struct ctl_feed *f, int64_t now)
 {
 	send_changed_crash_marks(f, now);
-	if (now - f->last_totals_us >=
-	    MAX(TOTALS_MAX_INTERVAL_US,
-		usage_totals_interval_us(f->totals_receivers, f->totals_rows)))
+	if (now - f->last_totals_us >= TOTALS_MAX_INTERVAL_US)
 		send_totals(f, now);
 	if (now - f->last_expire_us >= EXPIRE_INTERVAL_US) {
 		f->last_expire_us = now;
--- a/src/forward/control_link.c
+++ b/src/forward/control_link.c
@@ -26,8 +26,7 @@
 #define USE_REPORT_INTERVAL_US (700 * USEC_PER_MSEC)
 
 /*
- * Totals arrive at least every 100 ms, 200 ms with very many endpoints
- * (usage_interval.h).  If several are missing, and a round trip
+ * Totals arrive at least every 100 ms.  If four are missing, and a round trip
  * has passed, the control process that sends them is frozen or cut off.  Usage
  * reports go to another one for TOTALS_AVOID_US.
  */
--- a/src/policy/usage_interval.c
+++ b/src/policy/usage_interval.c
@@ -21,14 +21,6 @@
 /* Some 1,670 messages a second from a control process, up to 167 hosts. */
 #define TOTALS_INTERVAL_US_PER_HOST 600
 
-/*
- * Some 300,000 rows a second, about 0.1 CPU cores.  At 300 hosts and 3,000
- * endpoints the totals took all of a control process's time, and it passed on
- * no plan.  Hosts take a process without totals for 450 ms for frozen.
- */
-#define TOTALS_ROWS_PER_S 300000
-#define TOTALS_INTERVAL_MAX_US 200000
-
 int64_t usage_report_interval_us(unsigned int hosts, size_t rows)
 {
 	int64_t by_hosts = (int64_t)hosts * REPORT_INTERVAL_US_PER_HOST;
@@ -44,14 +36,11 @@
 int64_t usage_lag_us(unsigned int hosts, size_t rows, unsigned int controls)
 {
 	return usage_report_interval_us(hosts, rows) +
-	       usage_totals_interval_us(hosts / MAX(controls, 1u), 0) + WAY_US;
+	       usage_totals_interval_us(hosts / MAX(controls, 1u)) + WAY_US;
 }
 
-int64_t usage_totals_interval_us(unsigned int hosts, size_t rows)
+int64_t usage_totals_interval_us(unsigned int hosts)
 {
-	int64_t by_hosts = CLAMP((int64_t)hosts * TOTALS_INTERVAL_US_PER_HOST,
-				 INTERVAL_MIN_US, INTERVAL_MAX_US);
-	int64_t by_rows = (int64_t)rows * G_USEC_PER_SEC / TOTALS_ROWS_PER_S;
-
-	return MAX(by_hosts, MIN(by_rows, TOTALS_INTERVAL_MAX_US));
+	return CLAMP((int64_t)hosts * TOTALS_INTERVAL_US_PER_HOST,
+		     INTERVAL_MIN_US, INTERVAL_MAX_US);
 }
--- a/src/policy/usage_interval.h
+++ b/src/policy/usage_interval.h
@@ -18,11 +18,8 @@
 /* Interval of a host's reports; `hosts` is all hosts, `rows` its own rows. */
 int64_t usage_report_interval_us(unsigned int hosts, size_t rows);
 
-/*
- * Interval of the totals; `hosts` is the hosts the control process serves, and
- * `rows` the rows of all messages of the last round.
- */
-int64_t usage_totals_interval_us(unsigned int hosts, size_t rows);
+/* Interval of the totals; `hosts` is the hosts the control process serves. */
+int64_t usage_totals_interval_us(unsigned int hosts);
 
 /*
  * Time until a host has in its totals what another one has placed, at most, if
--- a/tests/test_use.c
+++ b/tests/test_use.c
@@ -287,13 +287,9 @@
 	ck_assert_int_eq(usage_report_interval_us(400, 3), 48 * MS);
 	ck_assert_int_eq(usage_report_interval_us(5000, 3), 100 * MS);
 	ck_assert_int_eq(usage_report_interval_us(82, 400), 100 * MS);
-	ck_assert_int_eq(usage_totals_interval_us(14, 0), 10 * MS);
-	ck_assert_int_eq(usage_totals_interval_us(57, 0), 34200);
-	ck_assert_int_eq(usage_totals_interval_us(1000, 0), 100 * MS);
-	/* Many rows: the process would have no time for anything else. */
-	ck_assert_int_eq(usage_totals_interval_us(57, 57 * 128), 34200);
-	ck_assert_int_eq(usage_totals_interval_us(20, 20 * 1000), 66666);
-	ck_assert_int_eq(usage_totals_interval_us(60, 60 * 3000), 200 * MS);
+	ck_assert_int_eq(usage_totals_interval_us(14), 10 * MS);
+	ck_assert_int_eq(usage_totals_interval_us(57), 34200);
+	ck_assert_int_eq(usage_totals_interval_us(1000), 100 * MS);
 }
 END_TEST
 
