--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -111,9 +111,9 @@
 	started
 }
 
-# server NUMBER ID DELAY_S: starts a server of tag-ledger.
+# server NUMBER ID DELAY_S [SERVICE]: starts a server, of tag-ledger by default.
 server() {
-	"$STANDIN" serve "$2" tag-ledger "$NET.$1:9000" \
+	"$STANDIN" serve "$2" "${4:-tag-ledger}" "$NET.$1:9000" \
 		"$NET.1:8748,$NET.2:8748,$NET.3:8748" "$3" "$RECORD" &
 	started
 }
@@ -139,9 +139,10 @@
 }
 
 # request FRONT ID [HEADERS]: sends a request of tenant acme with further header
-# lines (each with its \r\n), notes the answer, and sets STATUS.
+# lines (each with its \r\n), notes the answer, and sets STATUS.  TARGET: its
+# path, /cert/issue.
 request() {
-	printf 'POST /cert/issue HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: %s\r\nX-Key: key-of-acme\r\nX-Deadline-Ms: 5000\r\n%bConnection: close\r\nContent-Length: 4\r\n\r\nbody' \
+	printf 'POST '"${TARGET:-/cert/issue}"' HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: %s\r\nX-Key: key-of-acme\r\nX-Deadline-Ms: 5000\r\n%bConnection: close\r\nContent-Length: 4\r\n\r\nbody' \
 		"$2" "${3:-}" >"$DIR/request"
 	[ -z "${QUIET:-}" ] && note "client sends id=$2 to front $1, further headers: ${3:--}"
 	"$STANDIN" send "$NET.$1:8740" "$DIR/request" 6 >"$DIR/answer"
