--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -20,7 +20,8 @@
 finish() {
 	code=$?
 	for p in $PIDS; do kill -KILL "$p" 2>/dev/null; done
-	for p in $PIDS; do
+	kill -TERM $WATCHDOG 2>/dev/null
+	for p in $PIDS $WATCHDOG; do
 		while kill -0 "$p" 2>/dev/null; do sleep 0.05; done
 	done
 	rm -rf "$DIR"
@@ -28,6 +29,17 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
+# watchdog PID: ends a run that takes too long, with 2.
+watchdog() {
+	sleep 100 &
+	sleeper=$!
+	trap 'kill "$sleeper"; exit' TERM
+	wait "$sleeper"
+	kill -TERM "$1"
+}
+watchdog $$ >/dev/null 2>&1 &
+WATCHDOG=$!
+disown
 : >"$RECORD"
 note() { echo "$(date +%s.%3N) $*" >>"$RECORD"; }
 cannot() {
