--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -195,7 +195,8 @@
 			sleep 0.3
 		done
 	done
-	sleep 2
+	# contact_ms is 4 s: from here on all machines are in touch.
+	sleep 5
 	# Of what came before, only the births of the servers are kept.
 	grep ' announces itself, born=' "$RECORD" >"$DIR/births"
 	cat "$DIR/births" >"$RECORD"
