control: Acknowledge leaves only when the replicated log has them

Cause: a leave was acknowledged when one other process had the row in its memory. After a kill of all processes nobody had it, and a late announcement from before the leave was the first news of that server. The same holds for a server that said that it drains.

A leave is obeyed at once and acknowledged after the commit (control/ctl_departure.h); each control process merges the rows that it applies or loads into its registry.

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -11,6 +11,7 @@
 #include "base/err.h"
 #include "base/log.h"
 #include "control/ctl_admin.h"
+#include "control/ctl_departure.h"
 #include "control/ctl_document.h"
 #include "control/ctl_evacuate.h"
 #include "control/ctl_feed.h"
@@ -38,7 +39,7 @@
  */
 #define STOP_FINISH_US (300 * USEC_PER_MSEC)
 
-/* Records of calls with an idempotency key, and of crashes. */
+/* Records of calls with an idempotency key, crashes and departures. */
 #define EXPIRE_INTERVAL_US (60 * USEC_PER_SEC)
 
 void ctl_event(struct ctl *c, enum event_kind kind, const char *change,
@@ -191,7 +192,8 @@
 		return;
 	c->last_expire_us = now;
 	if (!ledger_count(sm_ledger(c->sm)) &&
-	    !crash_count_marks(sm_crash_marks(c->sm)))
+	    !crash_count_marks(sm_crash_marks(c->sm)) &&
+	    !departures_count(sm_departures(c->sm)))
 		return;
 	expire.ledger_before_ms =
 		(uint64_t)(clock_wall_us() / USEC_PER_MSEC - keep_ms);
@@ -242,8 +244,9 @@
 	g_free(reply_to);
 }
 
-/* Whether hosts may propose it; other commands have frames of their own. */
-static bool host_may_propose(const Mw__Command *cmd)
+/* Whether other processes may propose it; the other commands have frames of
+ * their own. */
+static bool may_propose(const Mw__Command *cmd)
 {
 	switch (cmd->body_case) {
 	case MW__COMMAND__BODY_BEGIN:
@@ -252,6 +255,7 @@
 	case MW__COMMAND__BODY_HOST_GONE:
 	case MW__COMMAND__BODY_CRASH_MARK:
 	case MW__COMMAND__BODY_SUSPECT_CLEARED:
+	case MW__COMMAND__BODY_DEPARTURE:
 		return true;
 	default:
 		return false;
@@ -266,7 +270,7 @@
 	/* A control process has relayed it already; it is not relayed twice. */
 	bool relayed = !strcmp(peer_hello(from)->role, "control");
 
-	if (!cmd || !host_may_propose(cmd)) {
+	if (!cmd || !may_propose(cmd)) {
 		reply_result(c, rpc, -MW_EINVAL, NULL);
 		return;
 	}
@@ -477,6 +481,7 @@
 	}
 	if (c->roster)
 		ctl_roster_tick(c->roster, now);
+	ctl_departure_tick(c, now);
 	ctl_evacuate_tick(c, now);
 	ctl_document_tick(c, now);
 	count_state(c, now);
@@ -676,6 +681,7 @@
 	list_init(&c->publications);
 	list_init(&c->document_reads);
 	list_init(&c->document_waits);
+	list_init(&c->departures);
 	list_init(&c->evacuation_calls);
 	list_init(&c->evacuation_orders);
 	ctl_log_fail_pending(c);
@@ -735,6 +741,7 @@
 		httpd_free(c->admin);
 	if (c->leading)
 		end_leading(c);
+	ctl_departure_stop(c);
 	ctl_evacuate_stop(c);
 	ctl_document_stop(c);
 	ctl_roster_free(c->roster);
--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -40,6 +40,7 @@
  *   ctl_roster.c  control processes found through seeds, voters
  *   ctl_document.c  documents that operators publish as a whole
  *   ctl_evacuate.c  orders to evacuate a data centre
+ *   ctl_departure.c  records which endpoints leave
  *   ctl_feed.c    updates to entry hosts: tree, endpoints, the load that other
  *                 entry hosts put on the endpoints
  *   ctl_poll.c    polls the model endpoints of its data centre for their load
@@ -157,6 +158,7 @@
 	struct list document_reads;    /* ctl_document.c: unconfirmed reads */
 	bool publishing;	       /* a publication is being committed */
 	struct evacuation evacuation;  /* of the tree in force */
+	struct list departures;	       /* ctl_departure.c: leaves to record */
 	struct list evacuation_calls;  /* ctl_evacuate.c: calls to answer */
 	struct list evacuation_orders; /* ctl_evacuate.c: queued, as leader */
 	struct evacuation_order *evacuating; /* being committed, or NULL */
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -5,15 +5,13 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_departure.h"
 #include "control/ctl_poll.h"
 #include "control/use.h"
 #include "iface/iface.h"
 #include "policy/usage_interval.h"
 #include "obs/slog.h"
 
-/* Time for another process to confirm a leave; endpoints wait a second. */
-#define REPLICATE_TIMEOUT_MS 600
-
 /* Totals are sent this often even if unchanged, which shows hosts that this
  * process is alive. */
 #define TOTALS_MAX_INTERVAL_US (100 * USEC_PER_MSEC)
@@ -25,7 +23,7 @@
 #define REGISTRY_FILL_US (2400 * USEC_PER_MSEC)
 
 /* Of a question before a leave or an entry is obeyed.  With
- * REPLICATE_TIMEOUT_MS it is less than the second that an endpoint waits. */
+ * CTL_DEPARTURE_WAIT_US it is less than the second that an endpoint waits. */
 #define DOUBT_TIMEOUT_MS 300
 /* Open questions; beyond that all is obeyed at once. */
 #define DOUBTED_MAX 32
@@ -68,6 +66,13 @@
 
 static void doubted_entry_free(struct doubted_entry *d);
 
+static void load_departure(const Mw__SnapDeparture *rec, void *arg)
+{
+	struct ctl_feed *f = arg;
+
+	registry_merge(f->registry, rec->info, f->started_us);
+}
+
 struct ctl_feed *ctl_feed_new(struct ctl *c)
 {
 	struct ctl_feed *f = g_new0(struct ctl_feed, 1);
@@ -77,6 +82,7 @@
 	f->registry = registry_new();
 	f->use = use_new();
 	list_init(&f->doubted);
+	departures_for_each(sm_departures(c->sm), load_departure, f);
 	return f;
 }
 
@@ -262,89 +268,64 @@
 			send_rows(p, &info, 1);
 }
 
-/* A row that other processes are to confirm before the endpoint is answered. */
-struct row_replication {
-	ctl_feed_ack_fn fn; /* NULL once answered */
-	void *ctx;
-	size_t open_calls;
-};
-
-static void on_row_confirmed(int err, const Mw__Frame *reply, void *ctx)
-{
-	struct row_replication *s = ctx;
-
-	(void)reply;
-	s->open_calls--;
-	if (s->fn && (err == 0 || !s->open_calls)) {
-		s->fn(err == 0 ? 0 : -MW_EAGAIN, s->ctx);
-		s->fn = NULL;
-	}
-	if (!s->open_calls)
-		g_free(s);
-}
-
-/*
- * Sends a row to all connected processes and calls fn when the first one has
- * confirmed it, or with -MW_EAGAIN when all have failed.
- */
-static void replicate_row(struct ctl_feed *f, Mw__EndpointInfo *info,
-			  ctl_feed_ack_fn fn, void *ctx)
-{
-	struct row_replication *s = g_new0(struct row_replication, 1);
-	Mw__Frame frame = MW__FRAME__INIT;
-	Mw__EndpointRows msg = MW__ENDPOINT_ROWS__INIT;
-
-	s->fn = fn;
-	s->ctx = ctx;
-	msg.rows = &info;
-	msg.n_rows = 1;
-	frame.body_case = MW__FRAME__BODY_ENDPOINT_ROWS;
-	frame.endpoint_rows = &msg;
-	for (struct peer *p = next_peer(f, NULL); p; p = next_peer(f, p))
-		if (peer_call(p, &frame, REPLICATE_TIMEOUT_MS, on_row_confirmed,
-			      s) == 0)
-			s->open_calls++;
-	if (s->open_calls)
-		return;
-	g_free(s);
-	fn(-MW_EAGAIN, ctx);
-}
-
 static void merge(struct ctl_feed *f, const Mw__EndpointInfo *info,
 		  ctl_feed_ack_fn fn, void *ctx)
 {
-	enum registry_change change =
-		registry_merge(f->registry, info, clock_mono_us());
+	int64_t now = clock_mono_us();
+	enum registry_change change = registry_merge(f->registry, info, now);
 	const struct registry_row *row = registry_find(f->registry, info->id);
 
-	if (change == REGISTRY_IGNORED || !row) {
-		fn(0, ctx);
-		return;
-	}
 	if (change == REGISTRY_CHANGED)
 		log_row(info, "endpoint");
-	if (!strcmp(info->state, REGISTRY_LEAVING)) {
-		replicate_row(f, row->info, fn, ctx);
-		return;
-	}
-	forward_row(f, row->info, change == REGISTRY_CHANGED, true);
-	fn(0, ctx);
+	if (change != REGISTRY_IGNORED && row)
+		forward_row(f, row->info, change == REGISTRY_CHANGED, true);
+	/* Also if it has come before: no commit may have followed then. */
+	if (row && !strcmp(info->state, REGISTRY_LEAVING) &&
+	    !strcmp(row->info->state, REGISTRY_LEAVING))
+		ctl_departure_record(f->ctl, row, now, fn, ctx);
+	else
+		fn(0, ctx);
 }
 
 static void leave(struct ctl_feed *f, const char *id, ctl_feed_ack_fn fn,
 		  void *ctx)
 {
+	int64_t now = clock_mono_us();
 	const struct registry_row *row =
-		registry_mark_left(f->registry, id, clock_mono_us());
+		registry_mark_left(f->registry, id, now);
 
 	if (!row) {
-		bool filling =
-			clock_mono_us() - f->started_us < REGISTRY_FILL_US;
+		bool filling = now - f->started_us < REGISTRY_FILL_US;
 		fn(filling ? -MW_EAGAIN : 0, ctx);
 		return;
 	}
 	log_row(row->info, "endpoint");
-	replicate_row(f, row->info, fn, ctx);
+	forward_row(f, row->info, true, true);
+	ctl_departure_record(f->ctl, row, now, fn, ctx);
+}
+
+/* ---- departures in the log ---- */
+
+void ctl_feed_merge_departure(struct ctl_feed *f, const Mw__EndpointInfo *info)
+{
+	enum registry_change change =
+		registry_merge(f->registry, info, clock_mono_us());
+	const struct registry_row *row = registry_find(f->registry, info->id);
+
+	if (change != REGISTRY_CHANGED || !row)
+		return;
+	log_row(row->info, "log");
+	forward_row(f, row->info, true, false);
+}
+
+static void merge_departure(const Mw__SnapDeparture *rec, void *arg)
+{
+	ctl_feed_merge_departure(arg, rec->info);
+}
+
+void ctl_feed_merge_departures(struct ctl_feed *f)
+{
+	departures_for_each(sm_departures(f->ctl->sm), merge_departure, f);
 }
 
 /* ---- what may be false, or of a former incarnation ---- */
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -54,11 +54,15 @@
 void ctl_feed_handle_use_report(struct ctl_feed *f, struct peer *from,
 				const Mw__UseReport *report, int64_t now);
 
+/* An endpoint that leaves, as the replicated log has it. */
+void ctl_feed_merge_departure(struct ctl_feed *f, const Mw__EndpointInfo *info);
+/* All of the state machine, after it was loaded from a snapshot. */
+void ctl_feed_merge_departures(struct ctl_feed *f);
+
 /*
  * err is 0 when the announcement may be acknowledged to the endpoint, or
- * -MW_EAGAIN if no other process has confirmed it.  Leaving is acknowledged
- * only after another process has confirmed the row: this process may fail
- * before any other one has received it.
+ * -MW_EAGAIN.  Leaving is acknowledged only when the replicated log has it
+ * (ctl_departure.h); it is obeyed at once in any case.
  */
 typedef void (*ctl_feed_ack_fn)(int err, void *ctx);
 /*
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -95,8 +95,10 @@
 	c->last_snapshot_bytes = len;
 	c->tail_bytes = 0;
 	ctl_keep_version(c);
-	if (c->feed)
-		ctl_feed_tree_changed(c->feed);
+	if (!c->feed)
+		return;
+	ctl_feed_tree_changed(c->feed);
+	ctl_feed_merge_departures(c->feed);
 }
 
 /*
@@ -283,6 +285,9 @@
 
 	if (cmd && cmd->body_case == MW__COMMAND__BODY_CHANGE)
 		ctl_change_applied(c, cmd->change, r);
+	if (cmd && cmd->body_case == MW__COMMAND__BODY_DEPARTURE && !r->err &&
+	    c->feed)
+		ctl_feed_merge_departure(c->feed, cmd->departure);
 	if (w) {
 		ctl_result_fn fn = w->fn;
 		void *ctx = w->ctx;
--- a/src/obs/counter_list.h
+++ b/src/obs/counter_list.h
@@ -98,6 +98,9 @@
 	"Pauses that endpoints asked for when they turned a request away.")
 COUNTER(EVACUATIONS, "mustardwall_evacuations_total", "changes", "state",
 	"Evacuations of data centres that began or ended on this process.")
+COUNTER(DEPARTURES, "mustardwall_departures_total", "leaves", "outcome",
+	"Leaves of endpoints that waited for their commit to the replicated "
+	"log: recorded, or not in time.")
 COUNTER(ENDPOINTS_COLD, "mustardwall_endpoints_cold_total", "endpoints",
 	"source",
 	"Endpoints that turned cold, by what this host learned it from.")
--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -153,6 +153,13 @@
 	set_state(info, REGISTRY_LEAVING);
 }
 
+static void row_set_said_leaving(struct registry_row *row)
+{
+	if (strcmp(row->info->state, REGISTRY_LEAVING) != 0)
+		row->leaving_seq = row->info->seq;
+	set_said_leaving(row->info);
+}
+
 /* Whether the row says of the same incarnation, for the first time, that its
  * answers said it leaves. */
 static bool says_leaving_first(const struct registry_row *row,
@@ -181,6 +188,15 @@
 	       (!info->cold_ms && shift_us < -REGISTRY_COLD_TOLERANCE_US);
 }
 
+/* The leaving_seq of a row that replaces `row`; same: with equal content. */
+static uint64_t leaves_since(const struct registry_row *row, bool same,
+			     const Mw__EndpointInfo *info)
+{
+	if (strcmp(info->state, REGISTRY_LEAVING) != 0)
+		return 0;
+	return same ? row->leaving_seq : info->seq;
+}
+
 /* The result of merging a newer row; notes when it is to be sent on. */
 static enum registry_change record_change(struct registry_row *stored,
 					  bool same, int64_t now)
@@ -203,7 +219,7 @@
 		if (!says_leaving_first(row, info))
 			return REGISTRY_IGNORED;
 		/* An older announcement, but its flag holds for all of them. */
-		set_said_leaving(row->info);
+		row_set_said_leaving(row);
 		notify(r, row);
 		return REGISTRY_CHANGED;
 	}
@@ -217,6 +233,7 @@
 	       !changes_cold(row, copy, now);
 	int64_t cold_until =
 		same ? row->cold_until_us : cold_until_us(copy, now);
+	uint64_t leaving_seq = leaves_since(row, same, copy);
 	struct registry_row *stored = g_new0(struct registry_row, 1);
 	g_autofree char *former_addr = NULL;
 	if (row) {
@@ -237,6 +254,7 @@
 	if (!same_incarnation)
 		stored->since_us = now;
 	stored->left = left;
+	stored->leaving_seq = leaving_seq;
 	stored->cold_until_us = cold_until;
 	g_hash_table_insert(r->rows, stored->info->id, stored);
 	if (!same) {
@@ -253,6 +271,7 @@
 	/* The highest seq: no later row of this incarnation is newer. */
 	row->info->seq = UINT64_MAX;
 	row->info->leave_deadline_ms = REGISTRY_LEFT_DEADLINE_MS;
+	row->leaving_seq = UINT64_MAX;
 	row->left = true;
 	row->received_us = now;
 	settle_address(r, row->info->addr, row);
@@ -314,7 +333,7 @@
 	if (!row || row->left || row->info->said_leaving ||
 	    row->info->incarnation != incarnation)
 		return NULL;
-	set_said_leaving(row->info);
+	row_set_said_leaving(row);
 	row->received_us = now;
 	notify(r, row);
 	return row;
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -59,6 +59,8 @@
 	int64_t received_us; /* last announcement or change of state */
 	int64_t since_us;    /* first announcement of this incarnation */
 	int64_t sent_us;     /* last REGISTRY_CHANGED of registry_merge() */
+	/* Of the announcement since which its state is "leaving"; or 0. */
+	uint64_t leaving_seq;
 	/* Until when processes that got only changes take it for cold; 0: warm.
 	 */
 	int64_t cold_until_us;
--- a/src/state/sm.c
+++ b/src/state/sm.c
@@ -21,6 +21,7 @@
 	sm->members = members_new();
 	sm->orders = orders_new();
 	sm->crash = crash_new();
+	sm->departures = departures_new();
 	return sm;
 }
 
@@ -34,6 +35,7 @@
 	members_free(sm->members);
 	orders_free(sm->orders);
 	crash_free(sm->crash);
+	departures_free(sm->departures);
 	g_free(sm);
 }
 
@@ -232,6 +234,13 @@
 	return sm->now_ms > ms ? sm->now_ms - ms : 0;
 }
 
+static void expire_departures(struct sm *sm)
+{
+	if (sm->now_ms > DEPARTURE_KEEP_MS)
+		departures_expire(sm->departures,
+				  sm->now_ms - DEPARTURE_KEEP_MS);
+}
+
 static Mw__Result *apply_expire(struct sm *sm, const Mw__Expire *expire)
 {
 	const struct system_cfg *cfg = tree_system(sm->tree);
@@ -241,9 +250,16 @@
 		cutoff_ms = expire->ledger_before_ms;
 	ledger_expire(sm->ledger, cutoff_ms);
 	crash_expire(sm->crash, ms_before_now(sm, cfg->crash_mark_ttl_s));
+	expire_departures(sm);
 	return result_new(0);
 }
 
+static Mw__Result *apply_departure(struct sm *sm, const Mw__EndpointInfo *info)
+{
+	expire_departures(sm);
+	return result_new(departure_record(sm->departures, sm->now_ms, info));
+}
+
 static Mw__Result *apply_command(struct sm *sm, uint64_t fence,
 				 const Mw__Command *c)
 {
@@ -299,6 +315,8 @@
 		return r;
 	case MW__COMMAND__BODY_EXPIRE:
 		return apply_expire(sm, c->expire);
+	case MW__COMMAND__BODY_DEPARTURE:
+		return apply_departure(sm, c->departure);
 	default:
 		return result_new(-MW_EINVAL);
 	}
@@ -363,3 +381,8 @@
 {
 	return sm->crash;
 }
+
+const struct departures *sm_departures(const struct sm *sm)
+{
+	return sm->departures;
+}
--- a/src/state/sm.h
+++ b/src/state/sm.h
@@ -6,6 +6,7 @@
 
 #include "base/buf.h"
 #include "state/crash.h"
+#include "state/departure.h"
 #include "state/history.h"
 #include "state/ledger.h"
 #include "state/member.h"
@@ -75,5 +76,6 @@
 const struct members *sm_members(const struct sm *sm);
 const struct orders *sm_orders(const struct sm *sm);
 const struct crash_marks *sm_crash_marks(const struct sm *sm);
+const struct departures *sm_departures(const struct sm *sm);
 
 #endif
--- a/src/state/sm_int.h
+++ b/src/state/sm_int.h
@@ -13,6 +13,7 @@
 	struct members *members;
 	struct orders *orders;
 	struct crash_marks *crash;
+	struct departures *departures;
 };
 
 #endif
--- a/src/state/sm_snap.c
+++ b/src/state/sm_snap.c
@@ -51,6 +51,11 @@
 	add_record(out, MW__SNAP_RECORD__BODY_CRASH, rec);
 }
 
+static void add_departure(const Mw__SnapDeparture *rec, void *out)
+{
+	add_record(out, MW__SNAP_RECORD__BODY_DEPARTURE, rec);
+}
+
 static void add_tree(const struct tree *tree, struct buf *out)
 {
 	Mw__SnapRecord rec = MW__SNAP_RECORD__INIT;
@@ -91,6 +96,7 @@
 	ledger_save(sm->ledger, add_ledger, out);
 	order_save(sm->orders, add_order, out);
 	crash_for_each(sm->crash, add_crash, out);
+	departures_for_each(sm->departures, add_departure, out);
 	add_u32(out, 0);
 	checksum = GUINT64_TO_LE(XXH64(out->data + start, out->len - start, 0));
 	buf_add(out, &checksum, sizeof(checksum));
@@ -197,6 +203,10 @@
 		if (rec->crash->marked_ms > ld->sm->now_ms)
 			return -MW_ECORRUPT;
 		return crash_load(ld->sm->crash, rec->crash);
+	case MW__SNAP_RECORD__BODY_DEPARTURE:
+		if (rec->departure->at_ms > ld->sm->now_ms)
+			return -MW_ECORRUPT;
+		return departure_load(ld->sm->departures, rec->departure);
 	default:
 		return -MW_ECORRUPT;
 	}
--- a/src/wire/mw.pb-c.c
+++ b/src/wire/mw.pb-c.c
@@ -1492,6 +1492,51 @@
   assert(message->base.descriptor == &mw__snap_crash__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mw__snap_departure__init
+                     (Mw__SnapDeparture         *message)
+{
+  static const Mw__SnapDeparture init_value = MW__SNAP_DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t mw__snap_departure__get_packed_size
+                     (const Mw__SnapDeparture *message)
+{
+  assert(message->base.descriptor == &mw__snap_departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mw__snap_departure__pack
+                     (const Mw__SnapDeparture *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mw__snap_departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mw__snap_departure__pack_to_buffer
+                     (const Mw__SnapDeparture *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mw__snap_departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mw__SnapDeparture *
+       mw__snap_departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mw__SnapDeparture *)
+     protobuf_c_message_unpack (&mw__snap_departure__descriptor,
+                                allocator, len, data);
+}
+void   mw__snap_departure__free_unpacked
+                     (Mw__SnapDeparture *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mw__snap_departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mw__snap_record__init
                      (Mw__SnapRecord         *message)
 {
@@ -5473,7 +5518,7 @@
   (ProtobufCMessageInit) mw__expire__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__command__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mw__command__field_descriptors[13] =
 {
   {
     "now_ms",
@@ -5619,12 +5664,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departure",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__Command, body_case),
+    offsetof(Mw__Command, departure),
+    &mw__endpoint_info__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__command__field_indices_by_name[] = {
   2,   /* field[2] = begin */
   1,   /* field[1] = change */
   4,   /* field[4] = close */
   9,   /* field[9] = crash_mark */
+  12,   /* field[12] = departure */
   3,   /* field[3] = end */
   11,   /* field[11] = expire */
   6,   /* field[6] = host_gone */
@@ -5637,7 +5695,7 @@
 static const ProtobufCIntRange mw__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor mw__command__descriptor =
 {
@@ -5647,7 +5705,7 @@
   "Mw__Command",
   "mw",
   sizeof(Mw__Command),
-  12,
+  13,
   mw__command__field_descriptors,
   mw__command__field_indices_by_name,
   1,  mw__command__number_ranges,
@@ -6686,7 +6744,58 @@
   (ProtobufCMessageInit) mw__snap_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mw__snap_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mw__snap_departure__field_descriptors[2] =
+{
+  {
+    "info",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mw__SnapDeparture, info),
+    &mw__endpoint_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mw__SnapDeparture, at_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mw__snap_departure__field_indices_by_name[] = {
+  1,   /* field[1] = at_ms */
+  0,   /* field[0] = info */
+};
+static const ProtobufCIntRange mw__snap_departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mw__snap_departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mw.SnapDeparture",
+  "SnapDeparture",
+  "Mw__SnapDeparture",
+  "mw",
+  sizeof(Mw__SnapDeparture),
+  2,
+  mw__snap_departure__field_descriptors,
+  mw__snap_departure__field_indices_by_name,
+  1,  mw__snap_departure__number_ranges,
+  (ProtobufCMessageInit) mw__snap_departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mw__snap_record__field_descriptors[8] =
 {
   {
     "header",
@@ -6772,9 +6881,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departure",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mw__SnapRecord, body_case),
+    offsetof(Mw__SnapRecord, departure),
+    &mw__snap_departure__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mw__snap_record__field_indices_by_name[] = {
   6,   /* field[6] = crash */
+  7,   /* field[7] = departure */
   0,   /* field[0] = header */
   2,   /* field[2] = history */
   3,   /* field[3] = host */
@@ -6785,7 +6907,7 @@
 static const ProtobufCIntRange mw__snap_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mw__snap_record__descriptor =
 {
@@ -6795,7 +6917,7 @@
   "Mw__SnapRecord",
   "mw",
   sizeof(Mw__SnapRecord),
-  7,
+  8,
   mw__snap_record__field_descriptors,
   mw__snap_record__field_indices_by_name,
   1,  mw__snap_record__number_ranges,
--- a/src/wire/mw.pb-c.h
+++ b/src/wire/mw.pb-c.h
@@ -48,6 +48,7 @@
 typedef struct Mw__SnapOrder Mw__SnapOrder;
 typedef struct Mw__SnapDeath Mw__SnapDeath;
 typedef struct Mw__SnapCrash Mw__SnapCrash;
+typedef struct Mw__SnapDeparture Mw__SnapDeparture;
 typedef struct Mw__SnapRecord Mw__SnapRecord;
 typedef struct Mw__Propose Mw__Propose;
 typedef struct Mw__ProposeResult Mw__ProposeResult;
@@ -601,7 +602,8 @@
   MW__COMMAND__BODY_ORDER_DONE = 9,
   MW__COMMAND__BODY_CRASH_MARK = 10,
   MW__COMMAND__BODY_SUSPECT_CLEARED = 11,
-  MW__COMMAND__BODY_EXPIRE = 12
+  MW__COMMAND__BODY_EXPIRE = 12,
+  MW__COMMAND__BODY_DEPARTURE = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__COMMAND__BODY__CASE)
 } Mw__Command__BodyCase;
 
@@ -628,6 +630,10 @@
     Mw__CrashMark *crash_mark;
     Mw__SuspectCleared *suspect_cleared;
     Mw__Expire *expire;
+    /*
+     * the row of an endpoint that leaves
+     */
+    Mw__EndpointInfo *departure;
   };
 };
 #define MW__COMMAND__INIT \
@@ -842,6 +848,17 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
+struct  Mw__SnapDeparture
+{
+  ProtobufCMessage base;
+  Mw__EndpointInfo *info;
+  uint64_t at_ms;
+};
+#define MW__SNAP_DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mw__snap_departure__descriptor) \
+    , NULL, 0 }
+
+
 typedef enum {
   MW__SNAP_RECORD__BODY__NOT_SET = 0,
   MW__SNAP_RECORD__BODY_HEADER = 1,
@@ -850,7 +867,8 @@
   MW__SNAP_RECORD__BODY_HOST = 4,
   MW__SNAP_RECORD__BODY_LEDGER = 5,
   MW__SNAP_RECORD__BODY_ORDER = 6,
-  MW__SNAP_RECORD__BODY_CRASH = 7
+  MW__SNAP_RECORD__BODY_CRASH = 7,
+  MW__SNAP_RECORD__BODY_DEPARTURE = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MW__SNAP_RECORD__BODY__CASE)
 } Mw__SnapRecord__BodyCase;
 
@@ -872,6 +890,7 @@
     Mw__SnapLedger *ledger;
     Mw__SnapOrder *order;
     Mw__SnapCrash *crash;
+    Mw__SnapDeparture *departure;
   };
 };
 #define MW__SNAP_RECORD__INIT \
@@ -2437,6 +2456,25 @@
 void   mw__snap_crash__free_unpacked
                      (Mw__SnapCrash *message,
                       ProtobufCAllocator *allocator);
+/* Mw__SnapDeparture methods */
+void   mw__snap_departure__init
+                     (Mw__SnapDeparture         *message);
+size_t mw__snap_departure__get_packed_size
+                     (const Mw__SnapDeparture   *message);
+size_t mw__snap_departure__pack
+                     (const Mw__SnapDeparture   *message,
+                      uint8_t             *out);
+size_t mw__snap_departure__pack_to_buffer
+                     (const Mw__SnapDeparture   *message,
+                      ProtobufCBuffer     *buffer);
+Mw__SnapDeparture *
+       mw__snap_departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mw__snap_departure__free_unpacked
+                     (Mw__SnapDeparture *message,
+                      ProtobufCAllocator *allocator);
 /* Mw__SnapRecord methods */
 void   mw__snap_record__init
                      (Mw__SnapRecord         *message);
@@ -3241,6 +3279,9 @@
 typedef void (*Mw__SnapCrash_Closure)
                  (const Mw__SnapCrash *message,
                   void *closure_data);
+typedef void (*Mw__SnapDeparture_Closure)
+                 (const Mw__SnapDeparture *message,
+                  void *closure_data);
 typedef void (*Mw__SnapRecord_Closure)
                  (const Mw__SnapRecord *message,
                   void *closure_data);
@@ -3391,6 +3432,7 @@
 extern const ProtobufCMessageDescriptor mw__snap_order__descriptor;
 extern const ProtobufCMessageDescriptor mw__snap_death__descriptor;
 extern const ProtobufCMessageDescriptor mw__snap_crash__descriptor;
+extern const ProtobufCMessageDescriptor mw__snap_departure__descriptor;
 extern const ProtobufCMessageDescriptor mw__snap_record__descriptor;
 extern const ProtobufCMessageDescriptor mw__propose__descriptor;
 extern const ProtobufCMessageDescriptor mw__propose_result__descriptor;
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -77,6 +77,32 @@
 }
 END_TEST
 
+/* Guards against a leave that is taken for recorded by the record of an earlier
+ * one, which the endpoint had withdrawn, or of its draining. */
+START_TEST(test_leaving_seq)
+{
+	struct registry *r = registry_new();
+
+	merge(r, "e", 5, 1, "h:1", "serving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 0);
+	merge(r, "e", 5, 3, "h:1", "leaving");
+	merge(r, "e", 5, 4, "h:1", "leaving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 3);
+	merge(r, "e", 5, 5, "h:1", "serving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 0);
+	merge(r, "e", 5, 6, "h:1", "leaving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 6);
+	registry_mark_left(r, "e", 0);
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, UINT64_MAX);
+	merge(r, "e", 6, 1, "h:1", "serving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 0);
+	registry_mark_leaving(r, "e", 6, 0);
+	merge(r, "e", 6, 2, "h:1", "serving");
+	ck_assert_uint_eq(registry_find(r, "e")->leaving_seq, 1);
+	registry_free(r);
+}
+END_TEST
+
 /* Guards against an incarnation that is not seen to follow another one, whose
  * late leave is then taken for its own. */
 START_TEST(test_follows)
@@ -469,6 +495,7 @@
 	const TTest *const tests[] = {test_order,
 				      test_follows,
 				      test_leave,
+				      test_leaving_seq,
 				      test_said_leaving,
 				      test_contradicts,
 				      test_address,
--- a/tests/test_sm.c
+++ b/tests/test_sm.c
@@ -236,6 +236,74 @@
 }
 END_TEST
 
+static int add_departure(struct sm *sm, uint64_t now_ms, const char *id,
+			 uint64_t incarnation, uint64_t seq)
+{
+	Mw__EndpointInfo info = MW__ENDPOINT_INFO__INIT;
+	char *services[] = {(char *)"plain"};
+
+	info.id = (char *)id;
+	info.incarnation = incarnation;
+	info.seq = seq;
+	info.addr = (char *)"h:1";
+	info.dc = (char *)"a";
+	info.state = (char *)"leaving";
+	info.models = services;
+	info.n_models = 1;
+	return apply_err(sm, now_ms, MW__COMMAND__BODY_DEPARTURE, &info);
+}
+
+static void check_departure(const struct sm *sm, const char *id,
+			    uint64_t incarnation, uint64_t seq)
+{
+	const Mw__EndpointInfo *info = departure_find(sm_departures(sm), id);
+
+	ck_assert_ptr_nonnull(info);
+	ck_assert_uint_eq(info->incarnation, incarnation);
+	ck_assert_uint_eq(info->seq, seq);
+	ck_assert_str_eq(info->addr, "h:1");
+	ck_assert_str_eq(info->models[0], "plain");
+}
+
+/* Guards against a leave that an older one replaces, that a snapshot loses, or
+ * that others push out before its time. */
+START_TEST(test_departures)
+{
+	struct sm *sm = sm_new(), *copy = NULL;
+	AUTO_BUF struct buf b = BUF_INIT;
+
+	add_departure(sm, 10, "e1", 5, 3);
+	add_departure(sm, 11, "e1", 5, 2);
+	add_departure(sm, 12, "e1", 4, UINT64_MAX);
+	check_departure(sm, "e1", 5, 3);
+	add_departure(sm, 13, "e1", 5, UINT64_MAX);
+	add_departure(sm, 14, "e2", 1, 1);
+	ck_assert_int_eq(add_departure(sm, 15, "", 1, 1), -MW_EINVAL);
+	sm_snapshot(sm, &b);
+	ck_assert_int_eq(sm_restore(b.data, b.len, &copy), 0);
+	ck_assert_uint_eq(sm_hash(copy), sm_hash(sm));
+	check_departure(copy, "e1", 5, UINT64_MAX);
+	check_departure(copy, "e2", 1, 1);
+	sm_free(copy);
+
+	add_departure(sm, DEPARTURE_KEEP_MS + 13, "e3", 1, 1);
+	check_departure(sm, "e1", 5, UINT64_MAX);
+	add_departure(sm, DEPARTURE_KEEP_MS + 14, "e3", 1, 2);
+	ck_assert_ptr_null(departure_find(sm_departures(sm), "e1"));
+	check_departure(sm, "e2", 1, 1);
+	for (int i = 0; i < DEPARTURES_MAX; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "g%d", i);
+		add_departure(sm, DEPARTURE_KEEP_MS + 14, id, 1, 1);
+	}
+	ck_assert_uint_eq(departures_count(sm_departures(sm)), DEPARTURES_MAX);
+	ck_assert_ptr_null(departure_find(sm_departures(sm), "e2"));
+	check_departure(sm, "g0", 1, 1);
+	sm_free(sm);
+}
+END_TEST
+
 /* A damaged or truncated snapshot must not be restored. */
 START_TEST(test_damaged_snapshots)
 {
@@ -244,6 +312,7 @@
 
 	register_host(sm, "h1", "w", 1);
 	add_death(sm, 10, "f1", "e1", 1);
+	add_departure(sm, 10, "e1", 1, 1);
 	expect_change(sm, "one", 1, "5", 0, 2, "");
 	sm_snapshot(sm, &b);
 	ck_assert_int_eq(sm_restore(b.data, b.len, &copy), 0);
@@ -394,5 +463,5 @@
 END_TEST
 
 RUN_TESTS("sm", test_changes, test_ledger_follows_hosts, test_orders,
-	  test_crash_marks, test_damaged_snapshots, test_bad_commands,
-	  test_costs)
+	  test_crash_marks, test_departures, test_damaged_snapshots,
+	  test_bad_commands, test_costs)
--- a/tests/test_state_random.c
+++ b/tests/test_state_random.c
@@ -40,6 +40,12 @@
 	Mw__Result *outcome;
 };
 
+struct departure_model {
+	uint64_t incarnation; /* 0: none */
+	uint64_t seq;
+	uint64_t at_ms;
+};
+
 struct run {
 	GRand *rand;
 	guint32 seed;
@@ -56,6 +62,7 @@
 	bool death[FINGERPRINTS][ENDPOINTS][3];
 	uint64_t death_ms[FINGERPRINTS]; /* last death that was counted */
 	bool *last_death[FINGERPRINTS];	 /* in death */
+	struct departure_model departure[ENDPOINTS];
 };
 
 /* Events over all seeds; each must occur, or its checks have not run. */
@@ -393,6 +400,48 @@
 	mw__result__free_unpacked(res, NULL);
 }
 
+static bool is_newer(uint64_t incarnation, uint64_t seq,
+		     const struct departure_model *m)
+{
+	if (incarnation != m->incarnation)
+		return incarnation > m->incarnation;
+	return seq > m->seq;
+}
+
+static void model_expire_departures(struct run *r)
+{
+	for (int n = 0; n < ENDPOINTS; n++) {
+		if (r->departure[n].at_ms + DEPARTURE_KEEP_MS < r->now_ms)
+			r->departure[n] = (struct departure_model){0};
+	}
+}
+
+static void do_departure(struct run *r)
+{
+	unsigned n = pick(r, ENDPOINTS);
+	struct departure_model *m = &r->departure[n];
+	Mw__EndpointInfo info = MW__ENDPOINT_INFO__INIT;
+	const Mw__EndpointInfo *found;
+	char id[16];
+
+	snprintf(id, sizeof(id), "e%u", n);
+	info.id = id;
+	info.incarnation = 1 + pick(r, 3);
+	info.seq = 1 + pick(r, 5);
+	info.state = (char *)(pick(r, 10) ? "leaving" : "serving");
+	mw__result__free_unpacked(
+		apply_both(r, MW__COMMAND__BODY_DEPARTURE, &info), NULL);
+	model_expire_departures(r);
+	if (!strcmp(info.state, "leaving") &&
+	    is_newer(info.incarnation, info.seq, m))
+		*m = (struct departure_model){info.incarnation, info.seq,
+					      r->now_ms};
+	found = departure_find(sm_departures(r->a), id);
+	CHECK(r, !found == !m->incarnation);
+	CHECK(r, !found || (found->incarnation == m->incarnation &&
+			    found->seq == m->seq));
+}
+
 static void do_expire(struct run *r)
 {
 	uint64_t before =
@@ -408,6 +457,7 @@
 			memset(&r->key[i], 0, sizeof(r->key[i]));
 	}
 	model_expire_deaths(r);
+	model_expire_departures(r);
 }
 
 static void do_restore(struct run *r)
@@ -444,9 +494,9 @@
 static void run_seed(guint32 seed)
 {
 	static void (*const actions[])(struct run *) = {
-		do_ledger, do_ledger, do_ledger,   do_ledger,	do_change,
-		do_change, do_order,  do_crash,	   do_crash,	do_register,
-		do_ledger, do_ledger, do_register, do_host_gone};
+		do_ledger, do_ledger, do_ledger,   do_ledger,	 do_change,
+		do_change, do_order,  do_crash,	   do_crash,	 do_register,
+		do_ledger, do_ledger, do_register, do_host_gone, do_departure};
 	struct run *r = g_new0(struct run, 1);
 
 	r->rand = g_rand_new_with_seed(seed);
