registry: Keep leaves of endpoints that are not known

Callers saw: requests sent to a server after its leave was acknowledged, if all control processes had started again shortly before and the server had not announced itself since.

Cause: a leave of an unknown id was acknowledged from 2.4 s after the start of the process on, and nothing was kept of it. Hosts that still knew the server were not told, and a late announcement brought it back elsewhere.

Change: such a leave becomes a row without an address, recorded in the log as others are; incarnations that started before it do not serve. A registry that has a row of the endpoint marks that row as left.

--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -287,6 +287,11 @@
 		fn(0, ctx);
 }
 
+static uint64_t wall_ms(void)
+{
+	return (uint64_t)(clock_wall_us() / USEC_PER_MSEC);
+}
+
 static void leave(struct ctl_feed *f, const char *id, ctl_feed_ack_fn fn,
 		  void *ctx)
 {
@@ -294,11 +299,13 @@
 	const struct registry_row *row =
 		registry_mark_left(f->registry, id, now);
 
-	if (!row) {
-		bool filling = now - f->started_us < REGISTRY_FILL_US;
-		fn(filling ? -MW_EAGAIN : 0, ctx);
+	if (!row && now - f->started_us < REGISTRY_FILL_US) {
+		fn(-MW_EAGAIN, ctx);
 		return;
 	}
+	/* Its incarnation is not known, so its start was before this leave. */
+	if (!row)
+		row = registry_add_left(f->registry, id, wall_ms(), now);
 	log_row(row->info, "endpoint");
 	forward_row(f, row->info, true, true);
 	ctl_departure_record(f->ctl, row, now, fn, ctx);
--- a/src/policy/registry.c
+++ b/src/policy/registry.c
@@ -208,6 +208,25 @@
 	return REGISTRY_CHANGED;
 }
 
+static void mark_left(struct registry *r, struct registry_row *row, int64_t now)
+{
+	/* The highest seq: no later row of this incarnation is newer. */
+	row->info->seq = UINT64_MAX;
+	row->info->leave_deadline_ms = REGISTRY_LEFT_DEADLINE_MS;
+	row->leaving_seq = UINT64_MAX;
+	row->left = true;
+	row->received_us = now;
+	settle_address(r, row->info->addr, row);
+	notify(r, row);
+}
+
+/* Whether the row was made by registry_add_left(). */
+static bool is_left_unknown(const Mw__EndpointInfo *info)
+{
+	return !*info->addr &&
+	       info->leave_deadline_ms == REGISTRY_LEFT_DEADLINE_MS;
+}
+
 enum registry_change registry_merge(struct registry *r,
 				    const Mw__EndpointInfo *info, int64_t now)
 {
@@ -225,6 +244,14 @@
 	}
 	if (same_incarnation && row->left)
 		return REGISTRY_IGNORED;
+	if (row && is_left_unknown(info)) {
+		if (row->left)
+			return REGISTRY_IGNORED;
+		/* Its requests and their address stay those of the row. */
+		set_state(row->info, REGISTRY_LEAVING);
+		mark_left(r, row, now);
+		return REGISTRY_CHANGED;
+	}
 	Mw__EndpointInfo *copy = copy_info(info);
 	if (copy->said_leaving || (same_incarnation && row->info->said_leaving))
 		set_said_leaving(copy);
@@ -266,18 +293,6 @@
 	return record_change(stored, same, now);
 }
 
-static void mark_left(struct registry *r, struct registry_row *row, int64_t now)
-{
-	/* The highest seq: no later row of this incarnation is newer. */
-	row->info->seq = UINT64_MAX;
-	row->info->leave_deadline_ms = REGISTRY_LEFT_DEADLINE_MS;
-	row->leaving_seq = UINT64_MAX;
-	row->left = true;
-	row->received_us = now;
-	settle_address(r, row->info->addr, row);
-	notify(r, row);
-}
-
 const struct registry_row *registry_mark_left(struct registry *r,
 					      const char *id, int64_t now)
 {
@@ -290,6 +305,20 @@
 	return row;
 }
 
+const struct registry_row *registry_add_left(struct registry *r, const char *id,
+					     uint64_t incarnation, int64_t now)
+{
+	Mw__EndpointInfo info = MW__ENDPOINT_INFO__INIT;
+
+	info.id = (char *)id;
+	info.incarnation = incarnation;
+	info.seq = UINT64_MAX;
+	info.state = (char *)REGISTRY_LEAVING;
+	info.leave_deadline_ms = REGISTRY_LEFT_DEADLINE_MS;
+	registry_merge(r, &info, now);
+	return registry_find(r, id);
+}
+
 const struct registry_row *registry_mark_replaced(struct registry *r,
 						  const char *id,
 						  uint64_t incarnation,
--- a/src/policy/registry.h
+++ b/src/policy/registry.h
@@ -100,6 +100,15 @@
 const struct registry_row *registry_mark_left(struct registry *r,
 					      const char *id, int64_t now);
 
+/*
+ * Adds an endpoint that is not known and has left: incarnations up to the given
+ * one do not serve.  The row has no address.  A registry that has a row of the
+ * endpoint, of such an incarnation, marks that as left instead.  Returns the
+ * row to send to the other processes, valid until the next change.
+ */
+const struct registry_row *registry_add_left(struct registry *r, const char *id,
+					     uint64_t incarnation, int64_t now);
+
 /*
  * Marks an endpoint as gone because the server at its address answered that it
  * is another one.  Returns the row to send to the other processes, valid until
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -77,6 +77,39 @@
 }
 END_TEST
 
+/* Guards against an endpoint that serves again although it has left, if the
+ * registry did not know it then, or if another registry still knows it. */
+START_TEST(test_left_unknown)
+{
+	struct registry *r = registry_new(), *peer = registry_new();
+	Mw__EndpointInfo left = new_info("e", 100, UINT64_MAX, "", "leaving");
+
+	left.leave_deadline_ms = REGISTRY_LEFT_DEADLINE_MS;
+	ck_assert(registry_add_left(r, "e", 100, 0)->left);
+	ck_assert_int_eq(registry_merge(r, &left, 0), REGISTRY_IGNORED);
+	ck_assert_int_eq(merge(r, "e", 90, 7, "h:1", "serving"),
+			 REGISTRY_IGNORED);
+	merge(peer, "e", 90, 6, "h:1", "serving");
+	ck_assert_int_eq(registry_merge(peer, &left, 0), REGISTRY_CHANGED);
+	const struct registry_row *known = registry_find(peer, "e");
+	ck_assert(known->left && !known->holds);
+	ck_assert_str_eq(known->info->addr, "h:1");
+	ck_assert_uint_eq(known->info->incarnation, 90);
+	ck_assert_int_eq(merge(peer, "e", 90, 7, "h:1", "serving"),
+			 REGISTRY_IGNORED);
+	ck_assert_int_eq(registry_merge(peer, &left, 0), REGISTRY_IGNORED);
+
+	/* A later start is another incarnation. */
+	merge(r, "e", 101, 1, "h:1", "serving");
+	ck_assert(!registry_find(r, "e")->left && registry_find(r, "e")->holds);
+	merge(peer, "e", 101, 1, "h:1", "serving");
+	ck_assert_int_eq(registry_merge(peer, &left, 0), REGISTRY_IGNORED);
+	ck_assert(!registry_find(peer, "e")->left);
+	registry_free(peer);
+	registry_free(r);
+}
+END_TEST
+
 /* Guards against a leave that is taken for recorded by the record of an earlier
  * one, which the endpoint had withdrawn, or of its draining. */
 START_TEST(test_leaving_seq)
@@ -495,6 +528,7 @@
 	const TTest *const tests[] = {test_order,
 				      test_follows,
 				      test_leave,
+				      test_left_unknown,
 				      test_leaving_seq,
 				      test_said_leaving,
 				      test_contradicts,
