entry: Answer leaves once the replicated log has them

Callers saw: calls that were sent to an endpoint of the product's own interface seconds after its leave was answered, if all processes were killed in between and an announcement from before the leave arrived late.

Change: the host that takes a leave has it recorded as a departure (src/entry/leave.h); a control process tells its hub of each departure that it applies or loads. On an island, which has no leader, a confirmation is enough as before (docs/status.md).

--- a/src/control/ctl.c
+++ b/src/control/ctl.c
@@ -701,6 +701,7 @@
 		return r;
 	ctl_hub_start(c);
 	c->feed = ctl_feed_new(c);
+	ctl_departure_load(c);
 	if (iface)
 		c->poll = ctl_poll_new(c);
 	if ((r = start_peers(c)) < 0)
--- a/src/control/ctl_departure.c
+++ b/src/control/ctl_departure.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "control/ctl_feed.h"
 #include "obs/counter.h"
 #include "obs/slog.h"
 #include "state/pb.h"
@@ -132,6 +133,24 @@
 	call_try(call, now);
 }
 
+void ctl_departure_applied(struct ctl *c, const Mw__EndpointInfo *info)
+{
+	if (c->iface)
+		ctl_feed_merge_departure(c->feed, info);
+	else
+		ctl_hub_departed(c, info);
+}
+
+static void load_one(const Mw__SnapDeparture *rec, void *arg)
+{
+	ctl_departure_applied(arg, rec->info);
+}
+
+void ctl_departure_load(struct ctl *c)
+{
+	departures_for_each(sm_departures(c->sm), load_one, c);
+}
+
 void ctl_departure_tick(struct ctl *c, int64_t now)
 {
 	struct departure_call *call, *tmp;
--- a/src/control/ctl_departure.h
+++ b/src/control/ctl_departure.h
@@ -24,6 +24,14 @@
 void ctl_departure_record(struct ctl *c, const struct registry_row *row,
 			  int64_t now, ctl_departure_fn fn, void *ctx);
 
+/*
+ * The log has this leave: tells the registry in use, that of the hub or, with
+ * an interface, of the feed.
+ */
+void ctl_departure_applied(struct ctl *c, const Mw__EndpointInfo *info);
+/* The same for all leaves of the state machine, as after a snapshot. */
+void ctl_departure_load(struct ctl *c);
+
 /* Tries again what found no leader, and ends what waits for too long. */
 void ctl_departure_tick(struct ctl *c, int64_t now);
 
--- a/src/control/ctl_feed.c
+++ b/src/control/ctl_feed.c
@@ -66,13 +66,6 @@
 
 static void doubted_entry_free(struct doubted_entry *d);
 
-static void load_departure(const Mw__SnapDeparture *rec, void *arg)
-{
-	struct ctl_feed *f = arg;
-
-	registry_merge(f->registry, rec->info, f->started_us);
-}
-
 struct ctl_feed *ctl_feed_new(struct ctl *c)
 {
 	struct ctl_feed *f = g_new0(struct ctl_feed, 1);
@@ -82,7 +75,6 @@
 	f->registry = registry_new();
 	f->use = use_new();
 	list_init(&f->doubted);
-	departures_for_each(sm_departures(c->sm), load_departure, f);
 	return f;
 }
 
@@ -322,17 +314,8 @@
 	if (change != REGISTRY_CHANGED || !row)
 		return;
 	log_row(row->info, "log");
-	forward_row(f, row->info, true, false);
-}
-
-static void merge_departure(const Mw__SnapDeparture *rec, void *arg)
-{
-	ctl_feed_merge_departure(arg, rec->info);
-}
-
-void ctl_feed_merge_departures(struct ctl_feed *f)
-{
-	departures_for_each(sm_departures(f->ctl->sm), merge_departure, f);
+	if (f->ctl->peers)
+		forward_row(f, row->info, true, false);
 }
 
 /* ---- what may be false, or of a former incarnation ---- */
--- a/src/control/ctl_feed.h
+++ b/src/control/ctl_feed.h
@@ -56,8 +56,6 @@
 
 /* An endpoint that leaves, as the replicated log has it. */
 void ctl_feed_merge_departure(struct ctl_feed *f, const Mw__EndpointInfo *info);
-/* All of the state machine, after it was loaded from a snapshot. */
-void ctl_feed_merge_departures(struct ctl_feed *f);
 
 /*
  * err is 0 when the announcement may be acknowledged to the endpoint, or
--- a/src/control/ctl_hub.c
+++ b/src/control/ctl_hub.c
@@ -135,6 +135,20 @@
 	g_free(r);
 }
 
+void ctl_hub_departed(struct ctl *c, const Mw__EndpointInfo *info)
+{
+	Mw__LeaveFwd leave = MW__LEAVE_FWD__INIT;
+
+	if (strcmp(info->dc, c->conf->dc) != 0)
+		return;
+	leave.id = info->id;
+	leave.incarnation = info->incarnation;
+	leave.seq = info->seq;
+	leave.dc = info->dc;
+	leave.deadline_ms = info->leave_deadline_ms;
+	hub_handle_leave(c->hub, clock_mono_us(), &leave);
+}
+
 /*
  * Records the member version of a report, and returns whether the hub may
  * answer reports: with leader contact, or if no host has reported a newer
--- a/src/control/ctl_log.c
+++ b/src/control/ctl_log.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "control/ctl_departure.h"
 #include "control/ctl_feed.h"
 #include "control/ctl_status.h"
 #include "obs/counter.h"
@@ -98,7 +99,7 @@
 	if (!c->feed)
 		return;
 	ctl_feed_tree_changed(c->feed);
-	ctl_feed_merge_departures(c->feed);
+	ctl_departure_load(c);
 }
 
 /*
@@ -285,9 +286,8 @@
 
 	if (cmd && cmd->body_case == MW__COMMAND__BODY_CHANGE)
 		ctl_change_applied(c, cmd->change, r);
-	if (cmd && cmd->body_case == MW__COMMAND__BODY_DEPARTURE && !r->err &&
-	    c->feed)
-		ctl_feed_merge_departure(c->feed, cmd->departure);
+	if (cmd && cmd->body_case == MW__COMMAND__BODY_DEPARTURE && !r->err)
+		ctl_departure_applied(c, cmd->departure);
 	if (w) {
 		ctl_result_fn fn = w->fn;
 		void *ctx = w->ctx;
--- a/src/entry/api.c
+++ b/src/entry/api.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/log.h"
+#include "entry/leave.h"
 #include "obs/stats.h"
 
 /* HTTP interface for callers and endpoints. */
@@ -154,7 +155,7 @@
 
 	if (l->http && err < 0)
 		api_error(l->http, -MW_EAGAIN, NULL,
-			  "no other host has confirmed the leave", 1, NULL);
+			  "the leave could not be recorded", 1, NULL);
 	else if (l->http)
 		reply_json(l->http, 200, "{}\n");
 	g_free(l);
@@ -181,7 +182,7 @@
 	view_mark_leaving(e, msg.id, msg.incarnation, clock_mono_us());
 	entry_event(e, EV_KIND_ENDPOINT_LEAVING, NULL, NULL, msg.id,
 		    "deadline %" G_GUINT64_FORMAT " ms", msg.deadline_ms);
-	session_forward_leave(e, &msg, on_leave_done, l);
+	leave_take(e, &msg, on_leave_done, l);
 	ep_leave_release(&msg);
 }
 
