fetch: End answers whose status is none of a final answer

Callers saw: the answer of a server in trouble under a status that HTTP does not have (600, 999), at the first attempt and from the ledger; after an unasked 101 they waited for the route's timeout and got 504.

Cause: any code above 199 was taken for that of a final answer, any below for an interim one; libcurl refuses only what is not three digits and codes below 100.

Change: net/status.h says what a final status is. A transfer with another one, or with 101, ends at once as one that was broken off. httpd_reply() sends an empty 502 in place of a status that is none, and a ledger record of an earlier version that has one is reported as unknown.

A record of an earlier version was not replayed as a whole.

--- a/src/entry/once.c
+++ b/src/entry/once.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/err.h"
+#include "net/status.h"
 #include "obs/stats.h"
 #include "state/ledger.h"
 
@@ -45,6 +46,11 @@
 /* Replies with the recorded answer of an earlier attempt. */
 static void replay(struct call *c, const Mw__Result *r)
 {
+	/* Earlier versions recorded an invalid status, too. */
+	if (!status_is_final((int)r->status)) {
+		call_fail(c, -MW_EUNKNOWN, "unknown", NULL);
+		return;
+	}
 	c->status = (int)r->status;
 	g_free(c->answer_type);
 	c->answer_type = *r->content_type ? g_strdup(r->content_type) : NULL;
--- a/src/net/fetch.c
+++ b/src/net/fetch.c
@@ -13,6 +13,7 @@
 #include "base/list.h"
 #include "net/bytes_read.h"
 #include "net/sockbuf.h"
+#include "net/status.h"
 
 /*
  * libcurl rejects most calls from inside its own callbacks.  So starts,
@@ -399,9 +400,17 @@
 	/* An empty line ends a header block; blocks of 1xx are skipped. */
 	if (n > 2 || (n && p[0] != '\r' && p[0] != '\n'))
 		return n;
+	if (f->status)
+		return n; /* of trailers */
 	curl_easy_getinfo(f->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (status < 200 || f->status)
+	/* No request asks for another protocol, so 101 answers none. */
+	if (status_is_interim((int)status) &&
+	    status != STATUS_SWITCHING_PROTOCOLS)
 		return n;
+	if (!status_is_final((int)status)) {
+		f->fault = "status of the answer out of range";
+		return 0;
+	}
 	f->status = (int)status;
 	if (f->ops->headers)
 		f->ops->headers(f->arg, f, f->status);
--- a/src/net/fetch.h
+++ b/src/net/fetch.h
@@ -23,6 +23,9 @@
  * arrives at once is passed on in parts, and other work of the loop is done in
  * between.
  *
+ * It ends so, too, before `headers` is called, if the status is none of a final
+ * answer (net/status.h): such an answer says nothing of the request.
+ *
  * libcurl resends a request when a reused connection closes before the first
  * byte of an answer.  A request that must not be sent twice therefore uses a
  * new connection: so do all methods but GET, HEAD and DELETE, unless
--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -22,6 +22,7 @@
 #include "base/log.h"
 #include "net/bytes_read.h"
 #include "net/sockbuf.h"
+#include "net/status.h"
 #include "obs/counter.h"
 
 /*
@@ -1288,6 +1289,13 @@
 		 const void *body, size_t len)
 {
 	assert(req->state == REQ_OWNED);
+	if (!status_is_final(status)) {
+		log_error("httpd", "an answer with status %d is not sent",
+			  status);
+		status = 502;
+		headers = NULL;
+		len = 0;
+	}
 	/* The cast is safe: the bytes are copied. */
 	req->response = MHD_create_response_from_buffer(
 		len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
@@ -1303,7 +1311,7 @@
 	size_t len = buf_unread(body);
 
 	/* Only a buffer that begins with its bytes can be given away. */
-	if (!len || body->off) {
+	if (!len || body->off || !status_is_final(status)) {
 		httpd_reply(req, status, headers, buf_head(body), len);
 		return;
 	}
@@ -1319,7 +1327,7 @@
 void httpd_stream_begin(struct httpd_req *req, int status,
 			const char *const *headers)
 {
-	assert(req->state == REQ_OWNED);
+	assert(req->state == REQ_OWNED && status_is_final(status));
 	req->response = MHD_create_response_from_callback(
 		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_read, req, NULL);
 	set_headers(req->response, headers);
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -180,7 +180,10 @@
 /* Releases the body, of which the owner needs no more; it is empty then. */
 void httpd_drop_body(struct httpd_req *req);
 
-/* Sends a complete answer; headers and body are copied. */
+/*
+ * Sends a complete answer; headers and body are copied.  One whose status is
+ * none of a final answer (net/status.h) is replaced by an empty 502.
+ */
 void httpd_reply(struct httpd_req *req, int status, const char *const *headers,
 		 const void *body, size_t len);
 
--- a/tests/test_fetch.c
+++ b/tests/test_fetch.c
@@ -225,6 +225,82 @@
 }
 END_TEST
 
+static int headers_called;
+
+static void count_headers(void *arg, struct fetch *f, int code)
+{
+	(void)arg;
+	(void)f;
+	(void)code;
+	headers_called++;
+}
+
+static void count_data(void *arg, struct fetch *f, const char *p, size_t n)
+{
+	headers_called++;
+	on_data(arg, f, p, n);
+}
+
+static const struct fetch_ops counting_ops = {count_headers, count_data,
+					      on_done};
+
+/* Sends the bytes as an answer and keeps the connection open. */
+static void get_answer(const char *bytes)
+{
+	char url[64];
+
+	done = status = headers_called = 0;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/", port);
+	fetch_start(client,
+		    &(struct fetch_spec){.method = "POST",
+					 .url = url,
+					 .timeout_ms = 4000,
+					 .connect_timeout_ms = 200},
+		    &counting_ops, NULL);
+	int fd = serve(-1);
+	answer(fd, bytes);
+	RUN_UNTIL(done == 1);
+	close(fd);
+}
+
+/*
+ * Guards against an answer with a status that HTTP does not have, or for
+ * another protocol, that is passed on or waited for.
+ */
+START_TEST(test_odd_status)
+{
+	static const char *const odd[] = {
+		"000",	"001", "099", "101", "600", "999",  "1000", "20",
+		"2000", "-20", "+20", "2x0", "",    "20 0", "0x200"};
+
+	for (size_t i = 0; i < sizeof(odd) / sizeof(*odd); i++) {
+		for (int interim = 0; interim < 2; interim++) {
+			char bytes[200];
+
+			snprintf(bytes, sizeof(bytes),
+				 "%sHTTP/1.1 %s Odd\r\nContent-Length: 9\r\n"
+				 "\r\nodd",
+				 interim ? "HTTP/1.1 103 Early\r\n\r\n" : "",
+				 odd[i]);
+			get_answer(bytes);
+			ck_assert_msg(result.err == FETCH_BROKEN, "%s: %d",
+				      odd[i], (int)result.err);
+			ck_assert_int_eq(result.status, 0);
+			ck_assert_int_eq(result.sent, 1);
+			ck_assert_msg(!headers_called, "%s", odd[i]);
+		}
+	}
+	get_answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Wait\r\n\r\n"
+		   "HTTP/1.1 599 Full\r\nContent-Length: 0\r\n\r\n");
+	ck_assert_int_eq(result.err, FETCH_OK);
+	ck_assert_int_eq(result.status, 599);
+	get_answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		   "2\r\nhi\r\n0\r\nX-Trailer: 1\r\n\r\n");
+	ck_assert_int_eq(result.err, FETCH_OK);
+	ck_assert_int_eq(result.status, 200);
+}
+END_TEST
+
 /* Guards against callbacks of a transfer cancelled in another's callback. */
 START_TEST(test_cancel_in_callback)
 {
@@ -291,6 +367,7 @@
 	tcase_add_test(tc, test_post_is_never_sent_twice);
 	tcase_add_test(tc, test_sent_on_kept_connection);
 	tcase_add_test(tc, test_error_kinds);
+	tcase_add_test(tc, test_odd_status);
 	tcase_add_test(tc, test_cancel_in_callback);
 	tcase_add_test(tc, test_body_is_given_back_before_done);
 	suite_add_tcase(s, tc);
--- a/tests/test_httpd.c
+++ b/tests/test_httpd.c
@@ -62,6 +62,15 @@
 		httpd_reply(req, 201, headers, body, len);
 		return;
 	}
+	if (g_str_has_prefix(httpd_path(req), "/status/")) {
+		struct buf answer = BUF_INIT;
+
+		buf_addstr(&answer, "odd");
+		httpd_reply_buf(req, atoi(httpd_path(req) + 8), headers,
+				&answer);
+		buf_release(&answer);
+		return;
+	}
 	httpd_set_owner(req, &ops, NULL);
 	open_req = req;
 	if (!strcmp(httpd_path(req), "/stream"))
@@ -161,6 +170,27 @@
 }
 END_TEST
 
+/* Guards against an answer whose status HTTP does not have, as of an older
+ * record, and against its headers and body under another status. */
+START_TEST(test_invalid_status)
+{
+	static const char *const paths[] = {"/status/0", "/status/99",
+					    "/status/101", "/status/600",
+					    "/status/999"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		struct call *c = start(0, "GET", paths[i], NULL, 0);
+		RUN_UNTIL(c->done);
+		ck_assert_int_eq(c->r.status, 502);
+		ck_assert_uint_eq(buf_unread(&c->body), 0);
+	}
+	struct call *c = start(0, "GET", "/status/599", NULL, 0);
+	RUN_UNTIL(c->done);
+	ck_assert_int_eq(c->r.status, 599);
+	ck_assert_uint_eq(buf_unread(&c->body), 3);
+}
+END_TEST
+
 /* Guards against unbounded bodies and unbounded numbers of requests. */
 START_TEST(test_limits)
 {
@@ -875,6 +905,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 30);
 	tcase_add_test(tc, test_echo);
+	tcase_add_test(tc, test_invalid_status);
 	tcase_add_test(tc, test_limits);
 	tcase_add_test(tc, test_stream_is_prompt);
 	tcase_add_test(tc, test_backpressure);
