--- a/src/control/ctl.h
+++ b/src/control/ctl.h
@@ -275,7 +275,7 @@
 void ctl_hub_announce(struct ctl *c, const Mw__Frame *f, int64_t now);
 void ctl_hub_leave(struct ctl *c, struct peer *from, const Mw__Frame *f,
 		   int64_t now);
-/* The log has the leave of an endpoint. */
+/* Adds the committed leave of an endpoint to the hub. */
 void ctl_hub_departed(struct ctl *c, const Mw__EndpointInfo *info);
 void ctl_hub_report(struct ctl *c, struct peer *from, const Mw__Frame *f,
 		    int64_t now);
--- a/src/control/ctl_departure.c
+++ b/src/control/ctl_departure.c
@@ -103,7 +103,7 @@
 		call->open = false;
 }
 
-/* Whether the log has what the row says, or something newer. */
+/* Whether this leave, or a newer one of the endpoint, is committed. */
 static bool is_recorded(const struct ctl *c, const struct registry_row *row)
 {
 	const Mw__EndpointInfo *info =
--- a/src/control/ctl_departure.h
+++ b/src/control/ctl_departure.h
@@ -25,8 +25,8 @@
 			  int64_t now, ctl_departure_fn fn, void *ctx);
 
 /*
- * The log has this leave: tells the registry in use, that of the hub or, with
- * an interface, of the feed.
+ * Call when this leave was committed: adds it to the registry in use, that of
+ * the hub or, with an interface, of the feed.
  */
 void ctl_departure_applied(struct ctl *c, const Mw__EndpointInfo *info);
 /* The same for all leaves of the state machine, as after a snapshot. */
