--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -2,7 +2,7 @@
 # one front on loopback addresses, with the program that the deploy file names.
 # A case sources this file in the root of the repository.
 
-PROGRAM=target/mustardwalld-platform
+PROGRAM=${PROGRAM:-target/mustardwalld-platform}
 STANDIN=target/review-3/standin-3
 HERE=$(cd "$(dirname "$0")" && pwd)
 RECORD=$HERE/record.txt
--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -3,6 +3,7 @@
  * client or operator that sends bytes as they are.
  *
  *   standin-3 server IP:PORT ID SERVICE ZONE CONTROL,... RECORD
+ *   standin-3 engine IP:PORT ID SERVICE ZONE CONTROL,... RECORD MILLISECONDS
  *   standin-3 send IP:PORT MILLISECONDS < BYTES
  *
  * The server announces itself at the control addresses in turn.  It serves one
@@ -11,6 +12,11 @@
  * instance gets 421, one without an id 400, and neither is run.  RECORD gets a
  * line for each request that it runs.
  *
+ * The engine is a server whose answers are streams of 120 events.  It reports
+ * "draining" after the time that is given, or never with 0.  A copy that it is
+ * asked for is complete after 50 ms; a request that goes on from a copy is
+ * refused with 503 after 300 ms.
+ *
  * The sender writes what it has read from its standard input, and prints what
  * it receives until the connection ends or the time is over.
  */
@@ -21,6 +27,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +40,8 @@
 #define BEAT_MS 1200
 
 static const char *id, *service, *zone, *addr;
+static bool is_engine;
+static long long leaves_ms; /* when it begins to drain; 0: never */
 static char controls[8][64];
 static int n_controls;
 static FILE *record;
@@ -132,9 +141,13 @@
 
 		snprintf(body, sizeof(body),
 			 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-			 "\"version\":\"v1\",\"slots\":6,\"state\":\"ready\","
+			 "\"version\":\"v1\",\"slots\":24,\"state\":\"%s\","
 			 "\"cold_remaining_ms\":0,\"seq\":%lu,\"born\":%lld}",
-			 service, addr, zone, seq, born);
+			 service, addr, zone,
+			 leaves_ms && now_ms(CLOCK_MONOTONIC) >= leaves_ms
+				 ? "draining"
+				 : "ready",
+			 seq, born);
 		snprintf(text, sizeof(text),
 			 "PUT /instances/%s HTTP/1.1\r\nHost: control\r\n"
 			 "Content-Type: application/json\r\n"
@@ -182,6 +195,46 @@
 	write_all(fd, text, strlen(text));
 }
 
+static void stream(int fd, const char *headers)
+{
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+		 "Transfer-Encoding: chunked\r\n\r\n",
+		 headers);
+	for (int i = 1; i <= 120 && !write_all(fd, text, strlen(text)); i++) {
+		char event[64];
+
+		snprintf(event, sizeof(event), "id: %d\ndata: token\n\n", i);
+		snprintf(text, sizeof(text), "%zx\r\n%s\r\n", strlen(event),
+			 event);
+		usleep(60 * 1000);
+	}
+	write_all(fd, "0\r\n\r\n", 5);
+}
+
+/* Orders to copy and to free copies, and requests that go on from a copy. */
+static bool serve_engine(int fd, const char *head)
+{
+	char from[256];
+
+	header(head, "Kv-From", from, sizeof(from));
+	if (!strncmp(head, "POST /kv-move ", 14)) {
+		usleep(50 * 1000);
+		answer(fd, "200 OK", "", "{\"handle\":\"h\",\"made\":1}");
+	} else if (!strncmp(head, "DELETE /kv-handle/", 18)) {
+		answer(fd, "200 OK", "", "");
+	} else if (*from) {
+		usleep(300 * 1000);
+		answer(fd, "503 Service Unavailable", "X-Not-Executed: 1\r\n",
+		       "");
+	} else {
+		return false;
+	}
+	return true;
+}
+
 static void run(int fd, const char *head, size_t body_len)
 {
 	char request[256], tenant[256], method[16], path[512], headers[1024];
@@ -199,7 +252,10 @@
 	snprintf(headers, sizeof(headers),
 		 "X-Request-Id: %s\r\nX-Response-Seal: seal.%s\r\n", request,
 		 request);
-	answer(fd, "200 OK", headers, "done");
+	if (is_engine)
+		stream(fd, headers);
+	else
+		answer(fd, "200 OK", headers, "done");
 }
 
 static void serve(int fd, const char *head, size_t body_len)
@@ -214,6 +270,8 @@
 		       "");
 	else if (!strncmp(head, "GET /healthz ", 13))
 		answer(fd, "200 OK", own, "");
+	else if (is_engine && serve_engine(fd, head))
+		return;
 	else if (!*request)
 		answer(fd, "400 Bad Request", "X-Not-Executed: 1\r\n", "");
 	else
@@ -314,6 +372,12 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (argc == 8 && !strcmp(argv[1], "server"))
 		return server_main(argv);
+	if (argc == 9 && !strcmp(argv[1], "engine")) {
+		is_engine = true;
+		if (atoi(argv[8]))
+			leaves_ms = now_ms(CLOCK_MONOTONIC) + atoi(argv[8]);
+		return server_main(argv);
+	}
 	if (argc == 4 && !strcmp(argv[1], "send"))
 		return send_main(argv);
 	fprintf(stderr, "see the head of standin-3.c\n");
