--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -139,7 +139,8 @@
 		[ $tries -lt 60 ] || cannot_run "no request is served"
 		sleep 0.3
 	done
-	sleep 2
+	# contact_ms, from the start of the processes: all machines are in touch.
+	sleep 5
 	for pid in $PIDS; do
 		kill -0 "$pid" 2>/dev/null || cannot_run "a process has ended"
 	done
